--- /dev/null
+++ b/cmd/umberbench/demo.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/harness"
+	"github.com/umberthread/umberthread/internal/load"
+)
+
+const kigaliTree = "examples/kigali.toml"
+
+// demoServices are the Kigali services with a twentieth of their slots.
+var demoServices = []serviceShape{
+	{"kigali/sheets", 15, 95, []string{"open=4ms:kigali/locations/find,kigali/rosters/day@4096", "preview=4ms:kigali/rosters/day"}},
+	{"kigali/bookings", 15, 95, []string{"confirm=4ms:kigali/rosters/day", "list=2ms"}},
+	{"kigali/locations", 15, 95, []string{"upload=5ms", "find=2ms:kigali/rosters/day"}},
+	{"kigali/rosters", 8, 40, []string{"day=3ms", "catering=3ms", "transport=3ms"}},
+}
+
+var demoKinds = []load.Kind{
+	{Target: "kigali/sheets/open", Share: 0.25, Deadline: 10 * time.Second},
+	{Target: "kigali/sheets/preview", Share: 0.15, Deadline: 2 * time.Second},
+	{Target: "kigali/bookings/confirm", Share: 0.15, Deadline: 8 * time.Second, Body: 200, Keyed: true},
+	{Target: "kigali/bookings/list", Share: 0.1, Deadline: 5 * time.Second},
+	{Target: "kigali/locations/upload", Share: 0.1, Deadline: 30 * time.Second, Body: 2 << 20},
+	{Target: "kigali/locations/find", Share: 0.1, Deadline: 5 * time.Second},
+	{Target: "kigali/rosters/day", Share: 0.05, Deadline: 5 * time.Second},
+	{Target: "kigali/rosters/catering", Share: 0.05, Deadline: 5 * time.Second},
+	{Target: "kigali/rosters/transport", Share: 0.05, Deadline: 5 * time.Second},
+}
+
+func runDemo(bin string) (err error) {
+	tree, err := os.ReadFile(kigaliTree)
+	if err != nil {
+		return fault.Wrap(fault.NotFound, err, "run this from the folder of the repository")
+	}
+	fmt.Println("Starting 8 nodes and 8 stand-in backend servers in 4 failure domains.")
+	f, err := startFleet(bin, kigaliDomains, demoServices, func(d, s int) bool { return (d+s)%2 == 0 })
+	if f != nil {
+		defer func() {
+			if serr := f.Stop(); err == nil {
+				err = serr
+			}
+		}()
+	}
+	if err != nil {
+		return err
+	}
+	version, err := f.Configure(f.Nodes[0], string(tree), nil)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("Settings version %d is in force on all nodes. Sending requests.\n", version)
+	if err := awaitServed(f, demoKinds); err != nil {
+		return err
+	}
+	r := load.Run(load.Options{Entries: f.Entries(), Kinds: demoKinds, Phases: []load.Phase{{Rate: 60, For: 6 * time.Second}}})
+	served := printOutcomes(r)
+	fmt.Println("Stopping all gracefully.")
+	if err := f.Stop(); err != nil {
+		return err
+	}
+	fmt.Printf("demo: served=%d of=%d\n", served, len(r.Outcomes))
+	if served != len(r.Outcomes) {
+		return fault.New(fault.Internal, "not all requests were served")
+	}
+	return nil
+}
+
+// awaitServed waits until each kind is served at every node.
+func awaitServed(f *harness.Fleet, kinds []load.Kind) error {
+	return harness.Await(20*time.Second, func() error {
+		for _, k := range kinds {
+			k.Share = 1
+			for _, n := range f.Nodes {
+				r := load.Run(load.Options{Entries: []string{n.HTTP}, Kinds: []load.Kind{k}, Phases: []load.Phase{{Rate: 1000, For: time.Millisecond}}})
+				for _, o := range r.Outcomes {
+					if !o.OK {
+						return fault.Newf(fault.NoBackend, "%s at %s: %s", k.Target, n.Name, o.Reason)
+					}
+				}
+			}
+		}
+		return nil
+	})
+}
+
+// printOutcomes prints a table by kind and returns how many were served.
+func printOutcomes(r *load.Result) int {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "KIND\tSENT\tSERVED\tP50\tP99\tFAILED")
+	total := 0
+	for i, k := range r.Options.Kinds {
+		sent, served := 0, 0
+		reasons := map[string]int{}
+		for _, o := range r.Outcomes {
+			if o.Kind != i {
+				continue
+			}
+			sent++
+			if o.OK && !o.Wrong {
+				served++
+			} else {
+				reasons[o.Reason]++
+			}
+		}
+		total += served
+		h := r.Latency(i, 0, time.Hour)
+		p50 := time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
+		p99 := time.Duration(h.ValueAtQuantile(99)) * time.Microsecond
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%s\n", k.Target, sent, served, p50, p99, reasonText(reasons))
+	}
+	_ = w.Flush()
+	return total
+}
+
+func reasonText(reasons map[string]int) string {
+	names := make([]string, 0, len(reasons))
+	for r := range reasons {
+		names = append(names, r)
+	}
+	sort.Strings(names)
+	text := "-"
+	for i, r := range names {
+		if i == 0 {
+			text = ""
+		} else {
+			text += ", "
+		}
+		text += fmt.Sprintf("%s: %d", r, reasons[r])
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/umberbench/fleet.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"time"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/harness"
+)
+
+// kigaliDomains are the failure domains of the Kigali fleet.
+var kigaliDomains = []string{"nyarugenge", "kicukiro", "gasabo", "remera"}
+
+// serviceShape is one service of a fleet in small.
+type serviceShape struct {
+	name  string
+	slots int
+	conns int
+	kinds []string
+}
+
+// startFleet starts one node and stand-in of each service in each domain given
+// by place, with a replica in each of the first three domains, and waits until
+// every node can route to every service.
+func startFleet(bin string, domains []string, services []serviceShape, place func(domain, service int) bool) (*harness.Fleet, error) {
+	f, err := harness.New(bin)
+	if err != nil {
+		return nil, err
+	}
+	for d, domain := range domains {
+		disk := d < 3
+		for i := range services {
+			if !place(d, i) {
+				continue
+			}
+			n, err := f.StartNode(harness.NodeSpec{Domain: domain, Disk: disk, Extra: []string{"replicas = 3", "shards = 2"}})
+			if err != nil {
+				return f, err
+			}
+			disk = false
+			s := services[i]
+			if _, err := f.StartServer(n, harness.ServerSpec{Service: s.name, Slots: s.slots, Connections: s.conns, Kinds: s.kinds}); err != nil {
+				return f, err
+			}
+		}
+	}
+	if err := f.Form(f.Nodes[0]); err != nil {
+		return f, err
+	}
+	return f, awaitReplicas(f, 3)
+}
+
+func awaitReplicas(f *harness.Fleet, n int) error {
+	return harness.Await(30*time.Second, func() error {
+		s, err := f.Nodes[0].Status()
+		if err != nil {
+			return err
+		}
+		for _, g := range s.Replica.Groups {
+			if len(g.Voters) != n {
+				return fault.Newf(fault.NotFound, "group %d has %d voters", g.Group, len(g.Voters))
+			}
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/cmd/umberbench/main.go
@@ -0,0 +1,46 @@
+// Umberbench runs fleets of processes on this machine: the demonstration and
+// the measurements.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/umberthread/umberthread/fault"
+)
+
+func main() {
+	app := kingpin.New("umberbench", "Run fleets of node and stand-in processes on this machine: a demonstration, and the measurements of docs/measurements.")
+	bin := app.Flag("bin", "Folder of the commands; by default that of this one.").String()
+	runs := map[string]func() error{}
+
+	demo := app.Command("demo", "Kigali in small: whole requests of every kind through a chain.")
+	runs[demo.FullCommand()] = func() error { return runDemo(*bin) }
+
+	surge := app.Command("surge", "A surge under several policies, and what became of the requests.")
+	var so surgeOptions
+	surge.Flag("policy", "Policies to run: full, static, off. Repeat for more.").Default("full", "off").EnumsVar(&so.policies, "full", "static", "off")
+	surge.Flag("times", "Demand during the surge, in times of the capacity. Repeat for more.").Default("3").Float64ListVar(&so.times)
+	surge.Flag("before", "How long before the surge, at 0.7 of the capacity.").Default("4s").DurationVar(&so.before)
+	surge.Flag("for", "How long the surge lasts.").Default("10s").DurationVar(&so.surge)
+	surge.Flag("after", "How long to watch the recovery, at 0.7 of the capacity.").Default("15s").DurationVar(&so.after)
+	surge.Flag("scenario", "What happens during the surge time.").Default(scenarioSurge).EnumVar(&so.scenario, scenarioNames()...)
+	surge.Flag("out", "Folder for the table and the plots.").StringVar(&so.out)
+	surge.Flag("last-line", "Print the summary line of make measure-quick.").BoolVar(&so.lastLine)
+	runs[surge.FullCommand()] = func() error { return runSurge(*bin, so) }
+
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *bin == "" {
+		self, err := os.Executable()
+		if err == nil {
+			*bin = filepath.Dir(self)
+		}
+	}
+	if err := runs[name](); err != nil {
+		fmt.Fprintln(os.Stderr, "umberbench:", err)
+		os.Exit(fault.CodeOf(err).Exit())
+	}
+}
--- /dev/null
+++ b/internal/harness/harness.go
@@ -0,0 +1,377 @@
+// Package harness runs nodes and stand-in backend servers as processes on
+// this machine, for demonstrations, measurements and failure tests.
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/ctl"
+	"github.com/umberthread/umberthread/internal/node"
+	"github.com/umberthread/umberthread/internal/sock"
+	"github.com/umberthread/umberthread/internal/standin"
+	"github.com/umberthread/umberthread/settings"
+)
+
+// Proc is a process that was started.
+type Proc struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// PID returns the process id.
+func (p *Proc) PID() int { return p.cmd.Process.Pid }
+
+// Signal sends a signal.
+func (p *Proc) Signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Wait waits for the process to end; false if it takes longer than d.
+func (p *Proc) Wait(d time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// Exit returns the exit code of an ended process.
+func (p *Proc) Exit() int { return p.cmd.ProcessState.ExitCode() }
+
+// Node is a node process.
+type Node struct {
+	*Proc
+	Domain                     string
+	HTTP, Data, Control, Admin string
+	Folder                     string
+	file                       string
+}
+
+// Server is a stand-in backend server process.
+type Server struct {
+	*Proc
+	Service string
+	Addr    string
+	Node    *Node
+	args    []string
+}
+
+// Fleet is a set of processes under one folder.
+type Fleet struct {
+	Dir     string
+	Bin     string
+	Nodes   []*Node
+	Servers []*Server
+}
+
+// New returns an empty fleet that uses the commands in bin.
+func New(bin string) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "umberthread-")
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "cannot make a folder")
+	}
+	return &Fleet{Dir: dir, Bin: bin}, nil
+}
+
+func (f *Fleet) start(name, command string, args ...string) (*Proc, error) {
+	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "cannot open a log")
+	}
+	cmd := exec.Command(filepath.Join(f.Bin, command), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "cannot start "+command)
+	}
+	p := &Proc{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// NodeSpec describes a node to start.
+type NodeSpec struct {
+	Domain string
+	// Disk gives the node a data folder.
+	Disk bool
+	// Extra are further lines of its settings file.
+	Extra []string
+	// Bootstrap are control addresses, by default of the first nodes.
+	Bootstrap []string
+}
+
+// StartNode starts a node and waits until its admin address answers.
+func (f *Fleet) StartNode(s NodeSpec) (*Node, error) {
+	n := &Node{Domain: s.Domain}
+	for _, a := range []*string{&n.HTTP, &n.Data, &n.Control, &n.Admin} {
+		addr, err := sock.FreeAddr()
+		if err != nil {
+			return nil, err
+		}
+		*a = addr
+	}
+	name := fmt.Sprintf("%s-%d", s.Domain, len(f.Nodes)+1)
+	boot := s.Bootstrap
+	if boot == nil {
+		boot = f.bootstrap()
+	}
+	lines := []string{
+		fmt.Sprintf("name = %q", name), fmt.Sprintf("failure_domain = %q", s.Domain),
+		fmt.Sprintf("http = %q", n.HTTP), fmt.Sprintf("data = %q", n.Data),
+		fmt.Sprintf("control = %q", n.Control), fmt.Sprintf("admin = %q", n.Admin),
+	}
+	if len(boot) > 0 {
+		lines = append(lines, `bootstrap = ["`+strings.Join(boot, `", "`)+`"]`)
+	}
+	if s.Disk {
+		n.Folder = filepath.Join(f.Dir, name+"-data")
+		lines = append(lines, fmt.Sprintf("data_folder = %q", n.Folder))
+	}
+	lines = append(lines, s.Extra...)
+	n.file = filepath.Join(f.Dir, name+".toml")
+	if err := os.WriteFile(n.file, []byte(strings.Join(lines, "\n")), 0o644); err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "cannot write settings")
+	}
+	f.Nodes = append(f.Nodes, n)
+	return n, f.Restart(n)
+}
+
+// Restart starts a node's process, for the first time or again.
+func (f *Fleet) Restart(n *Node) error {
+	name := strings.TrimSuffix(filepath.Base(n.file), ".toml")
+	p, err := f.start(name, "umberthreadd", "--settings", n.file)
+	if err != nil {
+		return err
+	}
+	n.Proc = p
+	return Await(20*time.Second, func() error {
+		if p.Wait(0) {
+			return fault.New(fault.Internal, "node "+name+" ended, see its log in "+f.Dir)
+		}
+		_, err := n.Status()
+		return err
+	})
+}
+
+func (f *Fleet) bootstrap() []string {
+	var out []string
+	for _, n := range f.Nodes {
+		if len(out) < 3 {
+			out = append(out, n.Control)
+		}
+	}
+	return out
+}
+
+// Status asks a node for its state.
+func (n *Node) Status() (node.Status, error) {
+	var s node.Status
+	return s, ctl.NewClient(n.Admin).Get("/v1/status", nil, &s)
+}
+
+// ServerSpec describes a stand-in to start beside a node.
+type ServerSpec struct {
+	Service     string
+	Slots       int
+	Connections int
+	Kinds       []string
+	ColdStart   time.Duration
+}
+
+// StartServer starts a stand-in beside a node.
+func (f *Fleet) StartServer(n *Node, s ServerSpec) (*Server, error) {
+	addr, err := sock.FreeAddr()
+	if err != nil {
+		return nil, err
+	}
+	args := []string{
+		"--service", s.Service, "--listen", addr, "--node", n.HTTP, "--slots", fmt.Sprint(s.Slots),
+		"--connections", fmt.Sprint(s.Connections), "--cold-start", s.ColdStart.String(),
+	}
+	for _, k := range s.Kinds {
+		args = append(args, "--kind", k)
+	}
+	srv := &Server{Service: s.Service, Addr: addr, Node: n, args: args}
+	f.Servers = append(f.Servers, srv)
+	return srv, f.RestartServer(srv)
+}
+
+// RestartServer starts a stand-in's process, for the first time or again.
+func (f *Fleet) RestartServer(s *Server) error {
+	name := strings.ReplaceAll(s.Service, "/", "-") + "-" + s.Node.Name
+	p, err := f.start(name, "umberstand", s.args...)
+	s.Proc = p
+	return err
+}
+
+// SetFaults changes what a stand-in does wrong.
+func (s *Server) SetFaults(f standin.Faults) error {
+	b, err := json.Marshal(f)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot encode faults")
+	}
+	resp, err := http.Post("http://"+s.Addr+"/_standin/faults", "application/json", bytes.NewReader(b))
+	if err != nil {
+		return fault.Wrap(fault.PeerLost, err, "stand-in does not answer")
+	}
+	return resp.Body.Close()
+}
+
+// Work returns the work that a stand-in did, by request id.
+func (s *Server) Work() (map[string]standin.Work, error) {
+	resp, err := http.Get("http://" + s.Addr + "/_standin/work")
+	if err != nil {
+		return nil, fault.Wrap(fault.PeerLost, err, "stand-in does not answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, fault.Wrap(fault.PeerLost, err, "stand-in broke off")
+	}
+	var w map[string]standin.Work
+	if err := json.Unmarshal(b, &w); err != nil {
+		return nil, fault.Wrap(fault.Protocol, err, "malformed work")
+	}
+	return w, nil
+}
+
+// Form forms the replica groups on a node.
+func (f *Fleet) Form(n *Node) error {
+	var s node.ReplicaStatus
+	return ctl.NewClient(n.Admin).Post("/v1/replicas/form", nil, &s)
+}
+
+// Configure makes a change that replaces the fleets of a document and sets
+// entries, and waits until all nodes have it.
+func (f *Fleet) Configure(n *Node, toml string, set settings.Entries) (uint64, error) {
+	tree, err := settings.ParseTOML([]byte(toml))
+	if err != nil {
+		return 0, err
+	}
+	entries := tree.Entries()
+	for k, v := range set {
+		entries[k] = v
+	}
+	c := ctl.NewClient(n.Admin)
+	var version uint64
+	err = Await(20*time.Second, func() error {
+		var d node.ConfigDocument
+		if err := c.Get("/v1/config", url.Values{"current": {"true"}}, &d); err != nil {
+			return err
+		}
+		var res node.ChangeResult
+		if err := c.Post("/v1/config", node.ChangeRequest{ID: uuid.NewString(), Base: d.Version, Set: entries}, &res); err != nil {
+			return err
+		}
+		if res.Version == 0 {
+			return fault.New(fault.Conflict, res.Reason)
+		}
+		version = res.Version
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return version, f.AwaitVersion(version, 20*time.Second)
+}
+
+// AwaitVersion waits until all running nodes have a version.
+func (f *Fleet) AwaitVersion(version uint64, d time.Duration) error {
+	return Await(d, func() error {
+		for _, n := range f.Nodes {
+			if n.Wait(0) {
+				continue
+			}
+			s, err := n.Status()
+			if err != nil {
+				return err
+			}
+			if s.Config < version {
+				return fault.Newf(fault.NotFound, "%s has version %d, not %d", s.Name, s.Config, version)
+			}
+		}
+		return nil
+	})
+}
+
+// Admins returns the admin addresses of all nodes.
+func (f *Fleet) Admins() []string {
+	var out []string
+	for _, n := range f.Nodes {
+		out = append(out, n.Admin)
+	}
+	return out
+}
+
+// Entries returns the HTTP addresses of all nodes.
+func (f *Fleet) Entries() []string {
+	var out []string
+	for _, n := range f.Nodes {
+		out = append(out, n.HTTP)
+	}
+	return out
+}
+
+// Stop stops all processes gracefully and reports those that did not exit
+// with 0. A frozen process is thawed first.
+func (f *Fleet) Stop() error {
+	var bad []string
+	for _, n := range f.Nodes {
+		if n.Proc != nil {
+			n.Signal(syscall.SIGCONT)
+			n.Signal(syscall.SIGTERM)
+		}
+	}
+	for _, n := range f.Nodes {
+		if n.Proc != nil && !n.Wait(40*time.Second) {
+			n.Signal(syscall.SIGKILL)
+			bad = append(bad, n.Name+" did not stop")
+		} else if n.Proc != nil && n.Exit() > 0 {
+			bad = append(bad, fmt.Sprintf("%s exited with %d", n.Name, n.Exit()))
+		}
+	}
+	for _, s := range f.Servers {
+		if s.Proc != nil {
+			s.Signal(syscall.SIGCONT)
+			s.Signal(syscall.SIGTERM)
+			_ = s.Wait(5 * time.Second)
+		}
+	}
+	if len(bad) > 0 {
+		return fault.New(fault.Internal, strings.Join(bad, "; ")+"; logs in "+f.Dir)
+	}
+	if err := os.RemoveAll(f.Dir); err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot remove the folder")
+	}
+	return nil
+}
+
+// Await calls f until it succeeds, or returns its last failure.
+func Await(d time.Duration, f func() error) error {
+	deadline := time.Now().Add(d)
+	for {
+		err := f()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -13,28 +12,18 @@
 	"github.com/google/uuid"
 	"github.com/onsi/gomega"
 
+	"github.com/umberthread/umberthread/internal/sock"
 	"github.com/umberthread/umberthread/internal/standin"
 	"github.com/umberthread/umberthread/settings"
 )
 
-// freeAddr returns a loopback address whose TCP and UDP ports are free.
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	for range 100 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		addr := ln.Addr().String()
-		pc, err := net.ListenPacket("udp", addr)
-		_ = ln.Close()
-		if err == nil {
-			_ = pc.Close()
-			return addr
-		}
+	addr, err := sock.FreeAddr()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return addr
 }
 
 // testNode is a node in the test's process, over real TCP and UDP.
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -4,6 +4,8 @@
 import (
 	"net"
 	"syscall"
+
+	"github.com/umberthread/umberthread/fault"
 )
 
 type state uint8
@@ -51,3 +53,25 @@
 		return stateClosed
 	}
 }
+
+// FreeAddr returns a loopback address whose TCP and UDP ports are free, for
+// processes that a test or a measurement starts.
+func FreeAddr() (string, error) {
+	const tries = 100
+	var last error
+	for range tries {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", fault.Wrap(fault.Internal, err, "no free port")
+		}
+		addr := ln.Addr().String()
+		pc, err := net.ListenPacket("udp", addr)
+		_ = ln.Close()
+		if err == nil {
+			_ = pc.Close()
+			return addr, nil
+		}
+		last = err
+	}
+	return "", fault.Wrap(fault.Internal, last, "no free port")
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -101,7 +101,7 @@
 	Runs int `json:"runs"`
 	// Done counts those that were answered whole.
 	Done int `json:"done"`
-	// Us is the time in slots, in microseconds.
+	// Us is the time worked, calls not counted, in microseconds.
 	Us int64 `json:"us"`
 }
 
@@ -295,13 +295,14 @@
 	defer func() { <-s.slots }()
 	id := r.Header.Get("Umber-Request-Id")
 	s.began(id, r.Header.Get("Idempotency-Key"))
-	start := time.Now()
-	defer func() { s.worked(id, time.Since(start)) }()
 	if f.Hang {
 		<-ctx.Done()
 		return http.StatusGatewayTimeout
 	}
-	if !sleep(ctx, s.span(k, f)) {
+	start := time.Now()
+	slept := sleep(ctx, s.span(k, f))
+	s.worked(id, time.Since(start))
+	if !slept {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return http.StatusGatewayTimeout
 	}
