Scale the queue's target and bound with the service time

Cause: at 0.7 of capacity the level rose and never fell: the target of 3 ms mean wait lies far below what chance arrivals make at an 80 ms service time, and windows of 100 ms held about five requests. Ruled out: the entry's level alone, for with one instance's queue full another had free slots; one try at another instance is now allowed to the node that chose the instance.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -12,14 +12,20 @@
 	// openBelow is the utilisation under which the level is lowered.
 	openBelow = 0.97
 	// maxOpen bounds the growth of admitted load in one window.
-	maxOpen = 1.3
-	// maxOpenRanks bounds how far the level falls in one window: below it
-	// the demand is not known.
-	maxOpenRanks = rank.Cohorts / 4
+	maxOpen = 2.0
+	// openRanks and idleRanks bound how far the level falls in one window,
+	// with no slot idle and in addition with all idle: below the level the
+	// demand is not known.
+	openRanks = rank.Cohorts / 8
+	idleRanks = rank.Count / 2
 	// baseCut is the share cut beyond the measured excess on overload.
 	baseCut = 0.02
 	// waitCut is the further share cut when the wait is at its maximum.
 	waitCut = 0.15
+	// minFinished is how many requests a window needs to judge an overload.
+	minFinished = 16
+	// maxStretch is how many windows long a window with fewer may become.
+	maxStretch = 8
 )
 
 // controller moves the admission level once a window. On overload it cuts
@@ -30,8 +36,8 @@
 	start    time.Duration
 	end      time.Duration
 	arrivals int
+	admitted int
 	finished int
-	waits    int
 	waitSum  time.Duration
 	overflew int
 	pushback bool
@@ -53,11 +59,23 @@
 
 func (c *controller) overflow() { c.overflew++ }
 
+// waited counts a request that leaves the queue, or d = 0 for one that never
+// stood in it.
 func (c *controller) waited(d time.Duration) {
-	c.waits++
+	c.admitted++
 	c.waitSum += d
 }
 
+// due tells whether the window can be judged: its time has passed and enough
+// requests finished in it, or none had to wait, or it is long overdue.
+func (c *controller) due(now, window time.Duration) bool {
+	if now < c.end {
+		return false
+	}
+	calm := c.waitSum == 0 && c.overflew == 0 && !c.pushback
+	return calm || c.finished >= minFinished || now >= c.end+(maxStretch-1)*window
+}
+
 // account adds the utilisation since the last event to the window's integral.
 func (c *controller) account(now time.Duration, inflight int, limit float64) {
 	if d := now - c.busyLast; d > 0 {
@@ -66,47 +84,51 @@
 	c.busyLast = now
 }
 
-// close ends the window, moves the level and starts the next window.
-func (c *controller) close(now time.Duration, o Options) {
+// close ends the window, moves the level and starts the next window. target
+// is the mean wait that keeps the slots busy, maxWait the longest allowed.
+func (c *controller) close(now, window, target, maxWait time.Duration) {
 	elapsed := now - c.start
 	util := 0.0
 	if elapsed > 0 {
 		util = c.busySum / float64(elapsed)
 	}
 	wait := time.Duration(0)
-	if c.waits > 0 {
-		wait = c.waitSum / time.Duration(max(c.arrivals, c.waits))
+	if c.admitted > 0 {
+		wait = c.waitSum / time.Duration(c.admitted)
 	}
 	switch {
-	case wait > o.QueueTarget || c.overflew > 0 || c.pushback:
-		c.tighten(wait, o)
+	case wait > target || c.overflew > c.finished/8 || c.pushback:
+		c.tighten(float64(wait) / float64(maxWait))
 	case c.level > 0 && util < openBelow:
 		c.open(util)
 	}
-	c.reset(now, o.Window)
+	c.reset(now, window)
 }
 
-func (c *controller) tighten(wait time.Duration, o Options) {
-	cut := baseCut
-	if o.QueueWait > 0 {
-		cut += waitCut * min(1, float64(wait)/float64(o.QueueWait))
-	}
-	target := float64(c.finished) * (1 - cut)
-	admitted := 0.0
-	for r := int(c.level); r < rank.Count; r++ {
-		admitted += float64(c.hist[r])
-	}
+// tighten raises the level until the demand above it is what was finished,
+// less a little to drain the queue. fill is how full the queue is, in time.
+func (c *controller) tighten(fill float64) {
 	if c.total <= 0 || c.arrivals == 0 {
 		return
 	}
+	cut := baseCut + waitCut*min(1, fill)
 	scale := float64(c.arrivals) / c.total
-	excess := admitted*scale - target
+	excess := c.above()*scale - float64(c.finished)*(1-cut)
 	for excess > 0 && int(c.level) < rank.Count-1 {
 		excess -= float64(c.hist[c.level]) * scale
 		c.level++
 	}
 }
 
+// above is the recent demand at or above the level.
+func (c *controller) above() float64 {
+	sum := 0.0
+	for r := int(c.level); r < rank.Count; r++ {
+		sum += float64(c.hist[r])
+	}
+	return sum
+}
+
 // open lowers the level far enough to fill the idle slots, judging the
 // demand of the ranks below by that of the ranks just above.
 func (c *controller) open(util float64) {
@@ -114,24 +136,19 @@
 	if util > 0 {
 		grow = min(maxOpen, 1/util)
 	}
-	above := 0.0
-	for r := int(c.level); r < rank.Count; r++ {
-		above += float64(c.hist[r])
-	}
-	room := above * (grow - 1)
-	density := c.density()
-	step := maxOpenRanks
-	if density > 0 {
-		step = int(room/density) + 1
+	room := c.above() * (grow - 1)
+	most := openRanks + int((1-util)*idleRanks)
+	step := most
+	if d := c.density(); d > 0 {
+		step = min(most, int(room/d)+1)
 	}
-	step = min(step, maxOpenRanks)
 	c.level -= rank.Level(min(step, int(c.level)))
 }
 
-// density is the mean demand per rank in the quarter class above the level.
+// density is the mean demand per rank in the part of a class above the level.
 func (c *controller) density() float64 {
 	from := int(c.level)
-	to := min(from+maxOpenRanks, rank.Count)
+	to := min(from+openRanks, rank.Count)
 	sum := 0.0
 	for r := from; r < to; r++ {
 		sum += float64(c.hist[r])
@@ -151,7 +168,7 @@
 	c.end = now + window
 	c.arrivals = 0
 	c.finished = 0
-	c.waits = 0
+	c.admitted = 0
 	c.waitSum = 0
 	c.overflew = 0
 	c.pushback = false
--- a/admission/guard.go
+++ b/admission/guard.go
@@ -37,9 +37,11 @@
 	Slots int
 	// QueueMax is how many requests may wait.
 	QueueMax int
-	// QueueWait is the longest that a request may wait.
+	// QueueWait is the longest that a request may wait; a service time that
+	// is much shorter makes it shorter, see waitFactor.
 	QueueWait time.Duration
-	// QueueTarget is the mean wait above which the level rises.
+	// QueueTarget is the least mean wait above which the level rises; a long
+	// service time raises it, see targetFactor.
 	QueueTarget time.Duration
 	// Window is the period of the control loop.
 	Window time.Duration
@@ -109,6 +111,8 @@
 	queue    waitQueue
 	ctl      controller
 	est      [MaxKinds]quantile
+	// service is a moving mean of the time in the backend server.
+	service time.Duration
 }
 
 // New returns a guard with all slots free.
@@ -164,6 +168,7 @@
 		}
 	}
 	if g.inflight < int(g.limit) && len(g.queue) == 0 {
+		g.ctl.waited(0)
 		g.take(now)
 		return Decision{Verdict: Admit}
 	}
@@ -181,7 +186,7 @@
 		g.queue.remove(evicted)
 	}
 	w.since = now
-	w.giveUp = min(now+g.opt.QueueWait, w.Request.Deadline-g.estimate(w.Request.Kind))
+	w.giveUp = min(now+g.maxWait(), w.Request.Deadline-g.estimate(w.Request.Kind))
 	g.queue.push(w)
 	return Decision{Verdict: Wait, Evicted: evicted}
 }
@@ -218,6 +223,7 @@
 	g.ctl.done()
 	if o.Took > 0 {
 		g.est[o.Kind%MaxKinds].observe(o.Took)
+		g.service += (o.Took - g.service) / serviceKeep
 	}
 	if o.Pushback {
 		g.ctl.pushback = true
@@ -247,6 +253,31 @@
 	return g.next(now, late)
 }
 
+const (
+	// serviceKeep is the weight of the old mean service time.
+	serviceKeep = 32
+	// targetFactor is the mean wait, in service times, at which the slots are
+	// kept busy by chance arrivals without a queue that only adds latency.
+	targetFactor = 0.75
+	// waitFactor is the longest wait in service times.
+	waitFactor = 4
+	// minMaxWait is the least that the longest wait is shortened to.
+	minMaxWait = 50 * time.Millisecond
+)
+
+// target is the mean wait above which the level rises.
+func (g *Guard) target() time.Duration {
+	return max(g.opt.QueueTarget, time.Duration(targetFactor*float64(g.service)))
+}
+
+// maxWait is the longest that a request may wait.
+func (g *Guard) maxWait() time.Duration {
+	if g.opt.Mode != ModeFull || g.service == 0 {
+		return g.opt.QueueWait
+	}
+	return min(g.opt.QueueWait, max(minMaxWait, waitFactor*g.service))
+}
+
 func (g *Guard) take(now time.Duration) {
 	g.ctl.account(now, g.inflight, g.limit)
 	g.inflight++
@@ -264,12 +295,12 @@
 // Tick closes the control window if it has passed. The guard calls it on
 // every event; the shell calls it when there is no traffic.
 func (g *Guard) Tick(now time.Duration) {
-	if g.opt.Mode != ModeFull || now < g.ctl.end {
+	if g.opt.Mode != ModeFull || !g.ctl.due(now, g.opt.Window) {
 		return
 	}
 	g.ctl.account(now, g.inflight, g.limit)
 	g.adjustLimit()
-	g.ctl.close(now, g.opt)
+	g.ctl.close(now, g.opt.Window, g.target(), g.maxWait())
 }
 
 // limitDecrease is the factor by which the limit falls in a window in which
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -36,7 +36,9 @@
 	bodyLen int64
 
 	attempts int
-	started  time.Time
+	// picked is set if the last attempt reached an instance.
+	picked  bool
+	started time.Time
 }
 
 // replayable tells whether the call can be sent once more.
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -83,9 +83,9 @@
 
 // mayRetry decides whether a failed call is sent once more, and pays for it.
 //
-// It may be sent only if it certainly was not run or may run twice. A refusal
-// for overload is passed up, not retried here: the refusing node has already
-// looked further than this one can see.
+// It may be sent only if it certainly was not run or may run twice. An
+// overloaded instance's refusal is tried once at another instance, by the node
+// that chose the instance and by none above it.
 func (n *Node) mayRetry(c *call, a *answer, e *fault.Error, ratio *budget.Ratio) bool {
 	if !c.replayable() || c.scope.Err() != fault.None {
 		return false
@@ -97,7 +97,7 @@
 		if e.Run != fault.RunNo && !c.policy.Idempotent {
 			return false
 		}
-		if !retryHelps(e.Code) {
+		if !retryHelps(c, e.Code) {
 			return false
 		}
 	}
@@ -112,8 +112,10 @@
 }
 
 // retryHelps tells whether another instance may do better.
-func retryHelps(code fault.Code) bool {
+func retryHelps(c *call, code fault.Code) bool {
 	switch code {
+	case fault.Overload, fault.QueueTimeout:
+		return c.attempts == 1 && c.picked
 	case fault.PeerLost, fault.PeerSilent, fault.BackendLost, fault.Draining, fault.Starting, fault.Protocol:
 		return true
 	default:
@@ -124,6 +126,7 @@
 // attempt sends the call to one instance.
 func (n *Node) attempt(c *call, avoid *route.Instance) (*answer, *route.Instance, *fault.Error) {
 	c.attempts++
+	c.picked = false
 	now := n.clock()
 	q := route.Query{
 		Service: c.service, Rank: c.rank, Depth: c.depth, Now: now, Avoid: avoid,
@@ -136,6 +139,7 @@
 	if code != fault.None {
 		return nil, nil, c.refusal(code, "no instance of "+c.service+" takes this request", rank.Count/2)
 	}
+	c.picked = true
 	in.Seen.Begin()
 	if in.ID == n.id {
 		a, ferr := n.runLocal(c, c.pool)
