Keep the paths of entering requests apart from those of nested calls

Cause: after a surge the entry went on refusing the lowest class for seconds though every guard's level was back at 0. A node beside the overloaded service reported, as the level below it, what it had learnt as an entry for the same root kind, from nodes that had it from others like itself: an echo. Ruled out: guards that reopen slowly (their levels were 0 within 0.5 s of the end, read window by window), and false overload windows at 0.7 of capacity (there were none after the end).

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -22,6 +22,9 @@
 	baseCut = 0.02
 	// waitCut is the further share cut when the wait is at its maximum.
 	waitCut = 0.15
+	// severeFactor is how many targets the wait must reach to act after one
+	// window.
+	severeFactor = 2
 	// minFinished is how many requests a window needs to judge an overload.
 	minFinished = 16
 	// maxStretch is how many windows long a window with fewer may become.
@@ -41,6 +44,8 @@
 	waitSum  time.Duration
 	overflew int
 	pushback bool
+	// wasOver is set if the last window's wait was above the target.
+	wasOver bool
 
 	busySum  float64
 	busyLast time.Duration
@@ -96,12 +101,18 @@
 	if c.admitted > 0 {
 		wait = c.waitSum / time.Duration(c.admitted)
 	}
+	over := wait > target
+	severe := wait > severeFactor*target || c.overflew > c.finished/8 || c.pushback
 	switch {
-	case wait > target || c.overflew > c.finished/8 || c.pushback:
+	case severe || over && c.wasOver:
 		c.tighten(float64(wait) / float64(maxWait))
+	case over:
+		// Chance arrivals fill a queue for one window; demand beyond the
+		// capacity fills it for the next as well.
 	case c.level > 0 && util < openBelow:
 		c.open(util)
 	}
+	c.wasOver = over
 	c.reset(now, window)
 }
 
--- a/cmd/umberbench/surge.go
+++ b/cmd/umberbench/surge.go
@@ -90,6 +90,7 @@
 	times     float64
 	goodput   float64
 	protected float64
+	calm      float64
 	amplify   float64
 	wasted    float64
 	recovery  time.Duration
@@ -110,8 +111,8 @@
 				return err
 			}
 			all = append(all, *fg)
-			fmt.Printf("%s policy=%s times=%g goodput=%.2f protected=%.3f amplification=%.2f wasted=%.2f recovery=%s p50=%s p99=%s p99.9=%s refusal_p99=%s wrong=%d\n",
-				fg.scenario, policy, times, fg.goodput, fg.protected, fg.amplify, fg.wasted, fg.recoveryText(), fg.p50, fg.p99, fg.p999, fg.refusal, fg.wrong)
+			fmt.Printf("%s policy=%s times=%g goodput=%.2f protected=%.3f calm=%.3f amplification=%.2f wasted=%.2f recovery=%s p50=%s p99=%s p99.9=%s refusal_p99=%s wrong=%d\n",
+				fg.scenario, policy, times, fg.goodput, fg.protected, fg.calm, fg.amplify, fg.wasted, fg.recoveryText(), fg.p50, fg.p99, fg.p999, fg.refusal, fg.wrong)
 		}
 	}
 	if o.out != "" {
@@ -242,16 +243,23 @@
 	from, to := o.before, o.before+o.surge
 	// The first second of the surge is counted too: it is part of the bill.
 	useful, demanded, protected, protectedOK := 0.0, 0.0, 0, 0
-	tries := 0
+	calmSent, calmOK := 0, 0
+
 	for _, out := range r.Outcomes {
 		k := surgeKinds[out.Kind]
 		if out.Wrong {
 			fg.wrong++
 		}
+		if out.Due < from {
+			calmSent++
+			if out.OK {
+				calmOK++
+			}
+		}
 		if out.Due < from || out.Due >= to {
 			continue
 		}
-		tries += out.Tries
+
 		demanded += float64(k.calls)
 		if out.OK {
 			useful += float64(k.calls)
@@ -265,6 +273,7 @@
 	}
 	capacity := surgeCapacity() * capacityDuring(o.scenario) * o.surge.Seconds()
 	fg.goodput = useful / min(capacity, demanded)
+	fg.calm = float64(calmOK) / float64(max(1, calmSent))
 	if protected > 0 {
 		fg.protected = float64(protectedOK) / float64(protected)
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -65,6 +66,7 @@
 	Tries    int
 	Status   int
 	Reason   string
+	Detail   string
 	Wrong    bool
 	LastTook time.Duration
 }
@@ -192,6 +194,14 @@
 		out.Wrong = !bytes.HasPrefix(body, []byte(out.ID)) && resp.Header.Get("Umber-Replayed") == ""
 		return 0
 	}
+	var problem struct {
+		Reason string `json:"reason"`
+		Detail string `json:"detail"`
+	}
+	if json.Unmarshal(body, &problem) == nil && problem.Reason != "" {
+		out.Reason = problem.Reason
+		out.Detail = problem.Detail
+	}
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && r.o.Polite {
 		return time.Duration(seconds) * time.Second
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -66,7 +66,7 @@
 	if c.depth > 0 {
 		return 0
 	}
-	return n.paths.level(c.root, n.clock())
+	return n.entered.level(c.root, n.clock())
 }
 
 // badAnswer tells whether a backend server's answer is a failure that another
@@ -78,6 +78,20 @@
 	return a.status >= http.StatusInternalServerError && c.policy.Idempotent && fieldValue(a.header, HeaderRun) == ""
 }
 
+// pathsOf returns where the levels that the call's answers report belong.
+func (n *Node) pathsOf(c *call) *paths {
+	if c.depth > 0 {
+		return &n.nested
+	}
+	return &n.entered
+}
+
+// levelBelow is the highest level of the backend server beside this node and of
+// those that requests of the call's root kind reach through it.
+func (n *Node) levelBelow(c *call) rank.Level {
+	return max(n.gate.load().level, n.nested.level(c.root, n.clock()))
+}
+
 // baselineRetries is how often each hop retries under the baseline policies.
 const baselineRetries = 3
 
@@ -143,6 +157,7 @@
 	in.Seen.Begin()
 	if in.ID == n.id {
 		a, ferr := n.runLocal(c, c.pool)
+		n.pathsOf(c).observe(c.root, c.service, n.levelBelow(c), n.clock())
 		in.Seen.End(n.clock(), n.localReport(a, ferr), n.eject(c))
 		return a, in, ferr
 	}
@@ -197,7 +212,7 @@
 	}
 	r := &wa.Reply
 	c.pool.Settle(lease, int(r.Spent))
-	n.paths.observe(c.root, c.service, r.PathLevel, n.clock())
+	n.pathsOf(c).observe(c.root, c.service, r.PathLevel, n.clock())
 	a := &answer{status: int(r.Status), header: r.Header, length: r.BodyLen, body: wa.Body, close: wa.Close}
 	var ferr *fault.Error
 	if r.Code != fault.None {
@@ -226,7 +241,7 @@
 	reply := &wire.Reply{Spent: uint8(min(c.pool.Spent(), int(r.Lease)))}
 	load := n.gate.load()
 	reply.Level = load.level
-	reply.PathLevel = max(load.level, n.paths.level(c.root, n.clock()))
+	reply.PathLevel = n.levelBelow(c)
 	reply.InFlight = uint16(min(load.inflight+load.queued, 1<<16-1))
 	reply.Limit = uint16(min(load.limit, 1<<16-1))
 	if ferr != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,11 +44,15 @@
 
 	routes atomic.Pointer[route.Snapshot]
 	view   atomic.Pointer[view]
-	paths  paths
-	peers  peers
-	kinds  kindTable
-	ratios sync.Map // service -> *budget.Ratio
-	shares sync.Map // called service -> *atomic.Int32
+	// entered holds the paths of requests that entered here, nested those of
+	// the calls that the backend server beside this node makes. They must be
+	// apart: what is reported to the nodes above is only what lies below, or
+	// two nodes would go on telling each other of an overload that is over.
+	entered, nested paths
+	peers           peers
+	kinds           kindTable
+	ratios          sync.Map // service -> *budget.Ratio
+	shares          sync.Map // called service -> *atomic.Int32
 
 	gate    *gate
 	local   atomic.Pointer[local]
@@ -300,7 +304,7 @@
 	}
 	n.traces.add(Trace{
 		Time: time.Now(), RequestID: c.id, Target: c.target, Root: c.root, Rank: uint16(c.rank), Depth: c.depth,
-		Attempts: c.attempts, Spent: c.pool.Spent(), Level: uint16(n.paths.level(c.root, n.clock())),
+		Attempts: c.attempts, Spent: c.pool.Spent(), Level: uint16(n.entered.level(c.root, n.clock())),
 		Reason: code.String(), Run: run.String(), TookUs: took.Microseconds(),
 	})
 }
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -31,9 +31,15 @@
 	at      atomic.Int64
 }
 
-// edgeKeep is the share of the old level that an answer leaves; answers come
-// from several instances, whose levels differ.
-const edgeKeep = 0.6
+const (
+	// edgeKeep is the share of the old level that an answer leaves which
+	// follows at once: answers come from several instances, whose levels
+	// differ.
+	edgeKeep = 0.6
+	// edgeMemory is the age from which the old level says nothing beside a
+	// new answer. Most nodes see few requests of a kind.
+	edgeMemory = 200 * time.Millisecond
+)
 
 // observe takes in the path level that an answer of service reported.
 func (p *paths) observe(root, service string, l rank.Level, now time.Duration) {
@@ -43,8 +49,9 @@
 	}
 	e := v.(*path).edge(service)
 	old := rank.Level(e.level.Load())
-	believed := route.Fade(old, now-time.Duration(e.at.Load()))
-	next := rank.Level(float64(believed)*edgeKeep + float64(l)*(1-edgeKeep))
+	age := now - time.Duration(e.at.Load())
+	keep := edgeKeep * max(0, 1-float64(age)/float64(edgeMemory))
+	next := rank.Level(float64(old)*keep + float64(l)*(1-keep))
 	if next != old {
 		e.level.Store(uint32(next))
 	}
