Count the work already done for a request in queue and deadline

Cause: 3 to 8% of the work went into requests that then failed: previews, which call the overloaded service three times, lost their place at the second or third call, or were begun with too little time left. Change: the depth of a call counts the calls made before it; in a full queue more work outranks less within a class; where a service below is overloaded or others wait, a request needs the third quartile of its kind's time, not the first decile.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -187,22 +187,20 @@
 	c.busyLast = now
 }
 
-// quantile follows the tenth percentile of a stream of durations with one
-// word of state, by steps that are balanced at that percentile.
+// quantile follows a quantile of a stream of durations with one word of
+// state, by steps up and down that are balanced at that quantile.
 type quantile struct{ value time.Duration }
 
-const (
-	quantileUp   = 1.0 / 160
-	quantileDown = 9.0 / 160
-)
+// quantileStep is the step as a share of the value, before it is split.
+const quantileStep = 1.0 / 16
 
-func (q *quantile) observe(d time.Duration) {
+func (q *quantile) observe(d time.Duration, at float64) {
 	switch {
 	case q.value == 0:
 		q.value = d / 2
 	case d > q.value:
-		q.value += time.Duration(float64(q.value)*quantileUp) + 1
+		q.value += time.Duration(float64(q.value)*quantileStep*at) + 1
 	default:
-		q.value -= time.Duration(float64(q.value) * quantileDown)
+		q.value -= time.Duration(float64(q.value) * quantileStep * (1 - at))
 	}
 }
--- a/admission/guard.go
+++ b/admission/guard.go
@@ -51,8 +51,12 @@
 type Request struct {
 	// Rank is the request's place in the order of shedding.
 	Rank rank.Rank
-	// Depth is the number of hops already behind the request.
+	// Depth is the work already behind the request: its hops, and the calls
+	// that its caller has made for it.
 	Depth uint8
+	// Busy is set if a service further down is overloaded, so that work for
+	// a request that will not finish is taken from others.
+	Busy bool
 	// Kind indexes the estimate of the service time, below MaxKinds.
 	Kind uint8
 	// Deadline is when the answer is worthless, on the guard's clock.
@@ -110,7 +114,8 @@
 	inflight int
 	queue    waitQueue
 	ctl      controller
-	est      [MaxKinds]quantile
+	least    [MaxKinds]quantile
+	typical  [MaxKinds]quantile
 	// service is a moving mean of the time in the backend server.
 	service time.Duration
 }
@@ -163,7 +168,7 @@
 		if !g.ctl.level.Admits(r.Rank, r.Depth) {
 			return Decision{Code: fault.Overload}
 		}
-		if now+g.estimate(r.Kind) > r.Deadline {
+		if now+g.need(r) > r.Deadline {
 			return Decision{Code: fault.Deadline}
 		}
 	}
@@ -180,13 +185,13 @@
 	if len(g.queue) >= g.opt.QueueMax {
 		g.ctl.overflow()
 		evicted = g.queue.lowest()
-		if evicted == nil || evicted.Request.Rank.Class() >= w.Request.Rank.Class() {
+		if evicted == nil || !w.outranks(evicted) {
 			return Decision{Code: fault.Overload}
 		}
 		g.queue.remove(evicted)
 	}
 	w.since = now
-	w.giveUp = min(now+g.maxWait(), w.Request.Deadline-g.estimate(w.Request.Kind))
+	w.giveUp = min(now+g.maxWait(), w.Request.Deadline-g.need(w.Request))
 	g.queue.push(w)
 	return Decision{Verdict: Wait, Evicted: evicted}
 }
@@ -222,7 +227,8 @@
 	g.inflight--
 	g.ctl.done()
 	if o.Took > 0 {
-		g.est[o.Kind%MaxKinds].observe(o.Took)
+		g.least[o.Kind%MaxKinds].observe(o.Took, leastQuantile)
+		g.typical[o.Kind%MaxKinds].observe(o.Took, typicalQuantile)
 		g.service += (o.Took - g.service) / serviceKeep
 	}
 	if o.Pushback {
@@ -237,7 +243,7 @@
 	for g.inflight < int(g.limit) && len(g.queue) > 0 {
 		w := g.queue.pop()
 		g.ctl.waited(now - w.since)
-		if now+g.estimate(w.Request.Kind) > w.Request.Deadline {
+		if now+g.need(w.Request) > w.Request.Deadline {
 			late = append(late, w)
 			continue
 		}
@@ -254,6 +260,8 @@
 }
 
 const (
+	leastQuantile   = 0.1
+	typicalQuantile = 0.75
 	// serviceKeep is the weight of the old mean service time.
 	serviceKeep = 32
 	// targetFactor is the mean wait, in service times, at which the slots are
@@ -283,13 +291,18 @@
 	g.inflight++
 }
 
-// estimate is a low quantile of the service time: a request with less time
-// left than this will almost surely not finish.
-func (g *Guard) estimate(kind uint8) time.Duration {
+// need is the time that a request must have left to be worth running: a low
+// quantile of the service time of its kind, below which it will almost surely
+// not finish, or, where others wait for the slot, a high one.
+func (g *Guard) need(r Request) time.Duration {
 	if g.opt.Mode != ModeFull {
 		return 0
 	}
-	return g.est[kind%MaxKinds].value
+	i := r.Kind % MaxKinds
+	if r.Busy || len(g.queue) > 0 {
+		return g.typical[i].value
+	}
+	return g.least[i].value
 }
 
 // Tick closes the control window if it has passed. The guard calls it on
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -5,7 +5,7 @@
 // notQueued is the index of a waiter outside the queue.
 const notQueued = -1
 
-// waitQueue is a heap of waiters: higher class first, then earlier deadline.
+// waitQueue is a heap of waiters in the order of Waiter.before.
 type waitQueue []*Waiter
 
 // Len implements heap.Interface.
@@ -39,12 +39,22 @@
 	return w
 }
 
+// before orders waiters: the higher class first, then the one for which more
+// work was done, then the earlier deadline.
 func (w *Waiter) before(o *Waiter) bool {
+	if w.outranks(o) || o.outranks(w) {
+		return w.outranks(o)
+	}
+	return w.Request.Deadline < o.Request.Deadline
+}
+
+// outranks tells whether w takes the place of o in a full queue.
+func (w *Waiter) outranks(o *Waiter) bool {
 	wc, oc := w.Request.Rank.Class(), o.Request.Rank.Class()
 	if wc != oc {
 		return wc > oc
 	}
-	return w.Request.Deadline < o.Request.Deadline
+	return w.Request.Depth > o.Request.Depth
 }
 
 func (q *waitQueue) push(w *Waiter) { heap.Push(q, w) }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/umberthread/umberthread/budget"
@@ -22,12 +23,14 @@
 	service string
 	rank    rank.Rank
 	depth   uint8
-	policy  *settings.Policy
-	pool    *budget.Pool
-	scope   *scope.Scope
-	method  string
-	path    string
-	header  []wire.Field
+	// parent is the work that this call belongs to, nil at the entry.
+	parent *work
+	policy *settings.Policy
+	pool   *budget.Pool
+	scope  *scope.Scope
+	method string
+	path   string
+	header []wire.Field
 
 	// body is the whole body if it is small enough to be sent again, else
 	// stream is read once.
@@ -50,8 +53,18 @@
 type work struct {
 	token string
 	call  *call
+	// finished counts the calls that it has made.
+	finished atomic.Uint32
+}
+
+// depth is the work behind a call that is made for it now.
+func (w *work) depth() uint8 {
+	return uint8(min(uint32(w.call.depth)+1+w.finished.Load(), maxDepth))
 }
 
+// maxDepth is the highest depth that is told apart.
+const maxDepth = 255
+
 // answer is what a backend server said, wherever it stands.
 type answer struct {
 	status int
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -118,11 +118,13 @@
 	if !ok {
 		return fault.New(fault.Canceled, "the request that this call belongs to has ended")
 	}
-	parent := v.(*work).call
+	w := v.(*work)
+	c.parent = w
+	parent := w.call
 	c.id = parent.id
 	c.root = parent.root
 	c.rank = parent.rank
-	c.depth = parent.depth + 1
+	c.depth = w.depth()
 	c.scope = parent.scope.Child(c.started.Add(c.policy.Deadline))
 	c.pool = parent.pool
 	return nil
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -38,8 +38,7 @@
 			return nil, c.refusal(fault.ShareSpent, "too many requests here wait on this service", rank.Count/4)
 		}
 		defer share.Add(-1)
-		started := time.Now()
-		defer func() { n.stats.nested.Add(int64(time.Since(started))) }()
+		defer c.parent.finished.Add(1)
 	}
 	ratio := n.ratio(c.service)
 	ratio.Earn(c.policy.RetryRatio)
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -13,7 +13,6 @@
 	inflight atomic.Int64
 	retries  atomic.Int64
 	cut      atomic.Int64
-	nested   atomic.Int64
 	served   atomic.Int64
 	refusals [fault.Count]atomic.Int64
 
