--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -32,6 +32,13 @@
 	surge.Flag("last-line", "Print the summary line of make measure-quick.").BoolVar(&so.lastLine)
 	runs[surge.FullCommand()] = func() error { return runSurge(*bin, so) }
 
+	hop := app.Command("hop", "The time that two nodes on the way add to a call, against calling the backend server directly.")
+	var ho hopOptions
+	hop.Flag("rate", "Calls per second.").Default("2000").Float64Var(&ho.rate)
+	hop.Flag("for", "How long each run lasts.").Default("8s").DurationVar(&ho.span)
+	hop.Flag("rounds", "Runs of each, in turn.").Default("3").IntVar(&ho.rounds)
+	runs[hop.FullCommand()] = func() error { return runHop(*bin, ho) }
+
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if *bin == "" {
 		self, err := os.Executable()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,8 @@
 	// Pause is the time before a resend. Callers that retry hard ignore
 	// what the refusal asks of them.
 	Pause time.Duration
+	// Direct sends to backend servers instead of nodes.
+	Direct bool
 	// Polite callers wait as long as the refusal asks.
 	Polite bool
 }
@@ -164,7 +167,11 @@
 // try sends the request once and returns how long to wait before a resend.
 func (r *runner) try(ctx context.Context, k *Kind, key string, out *Outcome) time.Duration {
 	entry := r.o.Entries[r.next.Add(1)%uint64(len(r.o.Entries))]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/call/"+k.Target, bytes.NewReader(make([]byte, k.Body)))
+	path := "/call/" + k.Target
+	if r.o.Direct {
+		path = k.Target[strings.LastIndexByte(k.Target, '/'):]
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+path, bytes.NewReader(make([]byte, k.Body)))
 	if err != nil {
 		out.Reason = "malformed"
 		return r.o.Pause
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -327,6 +327,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
+	if d == 0 {
+		return true
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
