--- a/route/picker.go
+++ b/route/picker.go
@@ -70,12 +70,26 @@
 		first, second = second, first
 	}
 	in, code := q.choose(first, r)
-	if in != nil || len(second) == 0 {
+	if in != nil || len(svc.Others) == 0 {
 		return in, code
 	}
-	if spare, c := q.choose(second, r); spare != nil || code == fault.NoBackend {
+	if spare, c := q.choose(second, r); spare != nil {
 		return spare, c
 	}
+	return svc.any(q, r, code)
+}
+
+// any looks at every other domain, from a random start, for an instance that
+// takes the request. code is the reason so far.
+func (s *Service) any(q *Query, r Rand, code fault.Code) (*Instance, fault.Code) {
+	from := r.IntN(len(s.Others))
+	for i := range s.Others {
+		in, c := q.choose(s.Others[(from+i)%len(s.Others)], r)
+		if in != nil {
+			return in, c
+		}
+		code = worse(code, c)
+	}
 	return nil, code
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -67,6 +67,26 @@
 	g.Expect(last).To(gomega.Equal(1000))
 }
 
+// TestAllDomainsAreTried: the only instance that takes a request stands in one
+// of several other domains.
+func TestAllDomainsAreTried(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var others [][]*Instance
+	for _, d := range []string{"b", "c", "d", "e"} {
+		ins := instances(d, 2)
+		for _, in := range ins {
+			in.Seen.Announced(d != "d")
+		}
+		others = append(others, ins)
+	}
+	s, r := snapshot(nil, others...), rng()
+	for range 200 {
+		in, code := s.Pick(query(0), r)
+		g.Expect(code).To(gomega.Equal(fault.None))
+		g.Expect(in.Domain).To(gomega.Equal("d"))
+	}
+}
+
 func TestEjectedIsProbedByOneRequestAndComesBack(t *testing.T) {
 	g := gomega.NewWithT(t)
 	own := instances("a", 4)
