--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -151,13 +151,24 @@
 // Pool keeps one connection to each address. It is safe for concurrent use.
 type Pool struct {
 	counter *Counter
+	dial    Dialer
 
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
 }
 
+// Dialer opens a connection.
+type Dialer func(addr string, timeout time.Duration) (net.Conn, error)
+
+// DialTCP is the Dialer of a daemon.
+func DialTCP(addr string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, timeout)
+}
+
 // NewPool returns an empty pool that counts its bytes on c.
-func NewPool(c *Counter) *Pool { return &Pool{counter: c, conns: map[string]*rpc.Client{}} }
+func NewPool(c *Counter, dial Dialer) *Pool {
+	return &Pool{counter: c, dial: dial, conns: map[string]*rpc.Client{}}
+}
 
 // Call calls a method of the node at addr. A connection that does not answer
 // in time is closed: it may have gone silent for good, while a new one works.
@@ -191,7 +202,7 @@
 	if c != nil {
 		return c, nil
 	}
-	conn, err := net.DialTimeout("tcp", addr, timeout)
+	conn, err := p.dial(addr, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -120,6 +120,9 @@
 	if err != nil {
 		return
 	}
+	if !g.n.mayDatagram(o.Addr) {
+		return
+	}
 	g.n.stats.controlOut.Add(int64(len(b)))
 	// A lost datagram is what the protocol is made for.
 	_, _ = g.udp.WriteToUDP(b, addr)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/umberthread/umberthread/budget"
 	"github.com/umberthread/umberthread/burn"
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/route"
 )
@@ -78,6 +79,10 @@
 	wireSrv  *wire.Server
 	control  *controlServer
 
+	// dial and mayDatagram are the network, which tests cut.
+	dial        control.Dialer
+	mayDatagram func(addr string) bool
+
 	stop chan struct{}
 	wg   sync.WaitGroup
 }
@@ -103,8 +108,10 @@
 		opt: o, id: newID(), log: logger, start: time.Now(),
 		traces: newLast[Trace](keptTraces), events: newLast[Event](keptEvents),
 		burn: burn.NewBook(), stop: make(chan struct{}),
+		dial: control.DialTCP, mayDatagram: func(string) bool { return true },
 	}
 	n.gate = newGate(n.clock)
+	n.peers.dial = func(addr string, timeout time.Duration) (net.Conn, error) { return n.dial(addr, timeout) }
 	n.conf.Store(emptyConfig())
 	n.routes.Store(&route.Snapshot{})
 	n.view.Store(&view{})
--- /dev/null
+++ b/internal/node/partition_test.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/internal/standin"
+	"github.com/umberthread/umberthread/settings"
+)
+
+// network cuts nodes of one test process off from each other, one way or both:
+// what is sent vanishes, connections stay open and never come back to life.
+type network struct {
+	mu    sync.Mutex
+	owner map[string]string // address -> node id
+	cuts  map[string]bool   // "from>to"
+}
+
+func newNetwork(nodes ...*testNode) *network {
+	nw := &network{owner: map[string]string{}, cuts: map[string]bool{}}
+	for _, n := range nodes {
+		nw.owner[n.opt.Control] = n.id
+		nw.owner[n.opt.Data] = n.id
+		n.mayDatagram = func(addr string) bool { return !nw.isCut(n.id, addr) }
+		n.dial = func(addr string, timeout time.Duration) (net.Conn, error) {
+			if nw.isCut(n.id, addr) || nw.cutBack(n.id, addr) {
+				time.Sleep(min(timeout, 200*time.Millisecond))
+				return nil, net.ErrClosed
+			}
+			c, err := net.DialTimeout("tcp", addr, timeout)
+			if err != nil {
+				return nil, err
+			}
+			return &cutConn{Conn: c, nw: nw, from: n.id, addr: addr}, nil
+		}
+	}
+	for _, n := range nodes {
+		// Connections from before would not be cut.
+		n.control.pool.Close()
+		n.peers.keep(nil)
+	}
+	return nw
+}
+
+func (nw *network) isCut(from, addr string) bool {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	return nw.cuts[from+">"+nw.owner[addr]]
+}
+
+func (nw *network) cutBack(from, addr string) bool {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	return nw.cuts[nw.owner[addr]+">"+from]
+}
+
+func (nw *network) set(from, to *testNode, on bool) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	nw.cuts[from.id+">"+to.id] = on
+}
+
+func (nw *network) both(a, b *testNode, on bool) {
+	nw.set(a, b, on)
+	nw.set(b, a, on)
+}
+
+// cutConn loses what is sent or received during a cut, and all after it.
+type cutConn struct {
+	net.Conn
+	nw         *network
+	from, addr string
+	mu         sync.Mutex
+	lost       bool
+}
+
+func (c *cutConn) broken(cut bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = c.lost || cut
+	return c.lost
+}
+
+// Write implements net.Conn.
+func (c *cutConn) Write(p []byte) (int, error) {
+	if c.broken(c.nw.isCut(c.from, c.addr)) {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *cutConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.broken(c.nw.cutBack(c.from, c.addr)) {
+			return n, err
+		}
+	}
+}
+
+func TestCutOffDomainGoesOnServingAndCatchesUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := startReplicas(t, "a", "b", "c")
+	nw := newNetwork(nodes...)
+	cut := nodes[2]
+	_, r := nodes[0].change("", 0, settings.Entries{
+		"suva/cover-desk/check#idempotent": "true", "suva/claims-hub/lodge#key_required": "true", "suva/claims-hub/lodge#deadline": "1s",
+	})
+	g.Expect(r.Reason).To(gomega.Equal("none"))
+	for _, n := range nodes {
+		n.hasVersion(1)
+		startStandin(t, n, "suva/cover-desk", 8, map[string]standin.Kind{"check": {Time: time.Millisecond, Answer: 64}})
+	}
+	for _, n := range nodes {
+		n.serves("suva/cover-desk", 3)
+	}
+
+	nw.both(cut, nodes[0], true)
+	nw.both(cut, nodes[1], true)
+	// The cut-off domain serves what it can, all the time.
+	for range 40 {
+		res := cut.call("suva/cover-desk/check", "", nil, nil)
+		g.Expect(res.status).To(gomega.Equal(200), res.body)
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.Eventually(func() bool { return cut.view.Load().domains["a"].reachable }, 10*time.Second).Should(gomega.BeFalse())
+	// What it cannot do it refuses, and says truly that it was not run.
+	res := cut.call("suva/claims-hub/lodge", "", nil, map[string]string{HeaderKey: uuid.Must(uuid.NewV7()).String()})
+	g.Expect(res.problem().Reason).To(gomega.Equal("no-quorum"))
+	g.Expect(res.problem().Run).To(gomega.Equal("no"))
+	status, _ := cut.change("", 1, settings.Entries{"#deadline": "1s"})
+	g.Expect(status).To(gomega.Equal(503))
+	// The others go on changing settings.
+	g.Eventually(func() string {
+		_, r = nodes[0].change("kept", 1, settings.Entries{"#deadline": "4s"})
+		return r.Reason
+	}, 10*time.Second).Should(gomega.Equal("none"))
+	g.Expect(cut.conf.Load().version).To(gomega.Equal(uint64(1)))
+
+	nw.both(cut, nodes[0], false)
+	nw.both(cut, nodes[1], false)
+	healed := time.Now()
+	cut.hasVersion(2)
+	t.Logf("settings caught up %s after the cut was healed", time.Since(healed).Round(time.Millisecond))
+	g.Eventually(func() bool { return cut.view.Load().domains["a"].reachable }, 10*time.Second).Should(gomega.BeTrue())
+	cut.serves("suva/cover-desk", 3)
+}
+
+// TestOneWayCutReplicaNeitherBlocksNorAnswers: the leader still sends to the
+// others but hears nothing of them.
+func TestOneWayCutReplicaNeitherBlocksNorAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := startReplicas(t, "a", "b", "c")
+	nw := newNetwork(nodes...)
+	leader := func() *testNode {
+		for _, n := range nodes {
+			if n.replicas.groups[configGroup].leads.Load() {
+				return n
+			}
+		}
+		return nil
+	}
+	g.Eventually(leader, 5*time.Second).ShouldNot(gomega.BeNil())
+	old := leader()
+	for _, n := range nodes {
+		if n != old {
+			nw.set(n, old, true)
+		}
+	}
+	g.Eventually(func() bool { return old.replicas.groups[configGroup].leads.Load() }, 5*time.Second).Should(gomega.BeFalse())
+	var other *testNode
+	for _, n := range nodes {
+		if n != old {
+			other = n
+		}
+	}
+	g.Eventually(func() string {
+		_, r := other.change("one", 0, settings.Entries{"#deadline": "2s"})
+		return r.Reason
+	}, 10*time.Second).Should(gomega.Equal("none"))
+	_, _, err := old.replicas.readConfig(time.Second)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/internal/wire"
 )
 
@@ -14,14 +15,15 @@
 
 // peers holds the connections to the nodes that this one sends requests to.
 type peers struct {
-	m sync.Map // address -> *wire.Client
+	dial control.Dialer
+	m    sync.Map // address -> *wire.Client
 }
 
 func (p *peers) client(addr string, silence time.Duration) *wire.Client {
 	if v, ok := p.m.Load(addr); ok {
 		return v.(*wire.Client)
 	}
-	c := wire.NewClient(addr, wire.ClientOptions{Silence: silence, DialTimeout: peerDialTimeout, MaxIdle: peerMaxIdle})
+	c := wire.NewClient(addr, wire.ClientOptions{Silence: silence, DialTimeout: peerDialTimeout, MaxIdle: peerMaxIdle, Dialer: p.dial})
 	v, _ := p.m.LoadOrStore(addr, c)
 	return v.(*wire.Client)
 }
