--- a/admission/controller.go
+++ b/admission/controller.go
@@ -189,12 +189,30 @@
 
 // quantile follows a quantile of a stream of durations with one word of
 // state, by steps up and down that are balanced at that quantile.
-type quantile struct{ value time.Duration }
+type quantile struct {
+	value time.Duration
+	// fresh is set by each sample and cleared by fade.
+	fresh bool
+}
+
+// fadeShare is the part of a quantile that a window without a sample takes
+// away: where everything is refused for want of time there are no samples, and
+// the estimate must not keep it so.
+const fadeShare = 16
+
+// fade is called once a window.
+func (q *quantile) fade() {
+	if !q.fresh {
+		q.value -= q.value / fadeShare
+	}
+	q.fresh = false
+}
 
 // quantileStep is the step as a share of the value, before it is split.
 const quantileStep = 1.0 / 16
 
 func (q *quantile) observe(d time.Duration, at float64) {
+	q.fresh = true
 	switch {
 	case q.value == 0:
 		q.value = d / 2
--- a/admission/guard.go
+++ b/admission/guard.go
@@ -215,6 +215,9 @@
 	Kind uint8
 	// Took is the time in the backend server; zero if it never got there.
 	Took time.Duration
+	// Expired is set if the request was given up after Took, so that Took is
+	// only the least that it would have needed.
+	Expired bool
 	// Pushback is set if the backend server itself signalled overload.
 	Pushback bool
 }
@@ -226,11 +229,7 @@
 	g.ctl.account(now, g.inflight, g.limit)
 	g.inflight--
 	g.ctl.done()
-	if o.Took > 0 {
-		g.least[o.Kind%MaxKinds].observe(o.Took, leastQuantile)
-		g.typical[o.Kind%MaxKinds].observe(o.Took, typicalQuantile)
-		g.service += (o.Took - g.service) / serviceKeep
-	}
+	g.learn(o)
 	if o.Pushback {
 		g.ctl.pushback = true
 	}
@@ -259,6 +258,24 @@
 	return g.next(now, late)
 }
 
+// learn takes in how long a request took. One that was given up tells only
+// that its kind may need longer.
+func (g *Guard) learn(o Outcome) {
+	if o.Took <= 0 {
+		return
+	}
+	i := o.Kind % MaxKinds
+	if o.Expired {
+		if o.Took > g.typical[i].value {
+			g.typical[i].observe(o.Took, typicalQuantile)
+		}
+		return
+	}
+	g.least[i].observe(o.Took, leastQuantile)
+	g.typical[i].observe(o.Took, typicalQuantile)
+	g.service += (o.Took - g.service) / serviceKeep
+}
+
 const (
 	leastQuantile   = 0.1
 	typicalQuantile = 0.75
@@ -313,6 +330,10 @@
 	}
 	g.ctl.account(now, g.inflight, g.limit)
 	g.adjustLimit()
+	for i := range g.typical {
+		g.least[i].fade()
+		g.typical[i].fade()
+	}
 	g.ctl.close(now, g.opt.Window, g.target(), g.maxWait())
 }
 
--- a/burn/burn.go
+++ b/burn/burn.go
@@ -31,6 +31,9 @@
 	{"6h", 6 * time.Hour},
 }
 
+// StepSpan is the span of one of Kind.Steps.
+const StepSpan = fineStep
+
 const (
 	fineStep  = 10 * time.Second
 	fineSize  = 31
@@ -114,6 +117,9 @@
 	Root string `json:"kind"`
 	// Counts has one entry for each of Windows.
 	Counts [len(Windows)]Count `json:"counts"`
+	// Steps are the counts of the last five minutes, oldest first, one for
+	// each StepSpan; the last step is not over.
+	Steps []Count `json:"steps"`
 	// Sheds counts the failures by reason since the start.
 	Sheds map[string]int64 `json:"sheds,omitempty"`
 }
@@ -145,9 +151,22 @@
 			r.Counts[i] = sum(k.rough[:], now, roughStep, w.Span)
 		}
 	}
+	r.Steps = steps(k.fine[:], now)
 	return r
 }
 
+// steps returns the fine counters in the order of time.
+func steps(ring []counter, now time.Time) []Count {
+	last := now.UnixNano() / int64(fineStep)
+	out := make([]Count, fineSize-1)
+	for _, c := range ring {
+		if at := len(out) - 1 - int(last-c.step); c.total > 0 && at >= 0 && at < len(out) {
+			out[at] = Count{uint64(c.good), uint64(c.total)}
+		}
+	}
+	return out
+}
+
 // sum adds the steps that lie within span before now, the current one
 // included.
 func sum(ring []counter, now time.Time, step, span time.Duration) Count {
--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -39,6 +39,10 @@
 	hop.Flag("rounds", "Runs of each, in turn.").Default("3").IntVar(&ho.rounds)
 	runs[hop.FullCommand()] = func() error { return runHop(*bin, ho) }
 
+	prove := app.Command("prove", "Run the stateful fuzz tests with fresh seeds; needs the Go toolchain.")
+	proveTime := prove.Flag("time", "How long to go on.").Default("30s").Duration()
+	runs[prove.FullCommand()] = func() error { return runProve(*proveTime) }
+
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if *bin == "" {
 		self, err := os.Executable()
--- a/cmd/umberctl/main.go
+++ b/cmd/umberctl/main.go
@@ -102,6 +102,19 @@
 	reason := requests.Flag("reason", "Only requests with this reason, such as overload.").String()
 	c.runs[requests.FullCommand()] = func(o ctl.Out) error { return ctl.Requests(o, *c.nodes, *id, *reason) }
 
+	report := c.app.Command("report", "Reports over the fleet.")
+	burnCmd := report.Command("burn", "Service-level burn by request kind, refusals by reason, retries, recovery after overloads.")
+	html := burnCmd.Flag("html", "Also write it as one self-contained HTML page.").String()
+	c.runs[burnCmd.FullCommand()] = func(o ctl.Out) error { return ctl.ReportBurn(o, *c.nodes, *html) }
+
+	reference := c.app.Command("settings", "Print the reference of all settings as Markdown, from the program's own table.")
+	c.runs[reference.FullCommand()] = ctl.SettingsReference
+
+	charts := c.app.Command("charts", "Print the state charts that the program runs by.")
+	name := charts.Arg("name", "Only this chart.").String()
+	format := charts.Flag("format", "The language of the drawing.").Default("mermaid").Enum("mermaid", "graphviz")
+	c.runs[charts.FullCommand()] = func(o ctl.Out) error { return ctl.Charts(o, *name, *format) }
+
 	events := c.app.Command("events", "Print the last decisions of note, in the order of time across the nodes.")
 	c.runs[events.FullCommand()] = func(o ctl.Out) error { return ctl.Events(o, *c.nodes) }
 }
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,58 @@
+package ctl
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/burn"
+	"github.com/umberthread/umberthread/internal/node"
+	"github.com/umberthread/umberthread/settings"
+)
+
+// TestSettingsPageIsCurrent checks that docs/SETTINGS.md is what the program
+// prints.
+func TestSettingsPageIsCurrent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var b bytes.Buffer
+	g.Expect(SettingsReference(Out{W: &b})).To(gomega.Succeed())
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(page)).To(gomega.Equal(b.String()), "run: bin/umberctl settings > docs/SETTINGS.md")
+}
+
+func TestFilesReplaceOnlyTheFleetsTheyDescribe(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entries := settings.Entries{"#deadline": "1s", "suva#deadline": "2s", "suva/a#deadline": "3s", "kigali#deadline": "4s"}
+	overlay(entries, settings.Entries{"suva#class": "normal"})
+	g.Expect(entries).To(gomega.Equal(settings.Entries{"#deadline": "1s", "suva#class": "normal", "kigali#deadline": "4s"}))
+}
+
+func TestBurnPage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	kinds := map[string]*ReportKind{}
+	k := &node.BurnKind{Class: "protected", Objective: 0.99}
+	k.Root = "suva/cover-desk/check"
+	for i := range k.Counts {
+		k.Counts[i] = burn.Count{Good: 60, Total: 100}
+	}
+	k.Steps = []burn.Count{{Good: 10, Total: 10}, {Good: 5, Total: 10}}
+	k.Sheds = map[string]int64{"overload": 40}
+	addKind(kinds, k)
+	addKind(kinds, k)
+	r := &Report{At: time.Unix(0, 0), Refusals: map[string]int64{"overload": 80}, Unknown: []string{"suva-c"}}
+	r.finish(kinds, nil)
+	g.Expect(r.Kinds[0].Counts[0]).To(gomega.Equal(burn.Count{Good: 120, Total: 200}))
+	g.Expect(r.Kinds[0].Alert).To(gomega.Equal("fast"))
+	page, err := Page(r)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	text := string(page)
+	g.Expect(text).To(gomega.ContainSubstring("suva-c"))
+	g.Expect(strings.Count(text, "<svg")).To(gomega.Equal(3))
+	g.Expect(text).NotTo(gomega.ContainSubstring("<script"))
+	g.Expect(text).NotTo(gomega.ContainSubstring("src="))
+}
--- /dev/null
+++ b/internal/ctl/reference.go
@@ -0,0 +1,38 @@
+package ctl
+
+import (
+	"strings"
+
+	"github.com/umberthread/umberthread/settings"
+)
+
+var levelNames = map[settings.Depth]string{
+	settings.AtDefault: "default", settings.AtFleet: "fleet", settings.AtService: "service", settings.AtKind: "kind",
+}
+
+const referenceHead = `# Settings of the operators' tree
+
+This page is printed by ` + "`umberctl settings`" + ` from the table that the program
+checks settings with. A key may stand at the default, at a fleet, a service or a
+request kind, down to the level in the third column; a lower level overrides a
+higher one. Changes take effect without a restart.
+
+| key | default | lowest level | allowed | meaning |
+| --- | --- | --- | --- | --- |
+`
+
+// SettingsReference prints the reference page.
+func SettingsReference(o Out) error {
+	if o.JSON {
+		return o.json(settings.Keys())
+	}
+	o.printf("%s", referenceHead)
+	for _, k := range settings.Keys() {
+		def := "`" + k.Default + "`"
+		if k.Default == "" {
+			def = "none"
+		}
+		o.printf("| `%s` | %s | %s | %s | %s |\n", k.Name, def, levelNames[k.Lowest], strings.ReplaceAll(k.Allowed, "|", `\|`), k.Doc)
+	}
+	return nil
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -68,7 +68,7 @@
 	UptimeMs int64            `json:"uptime_ms"`
 	Config   uint64           `json:"config_version"`
 	Backend  BackendStatus    `json:"backend"`
-	Stopping bool             `json:"stopping"`
+	State    string           `json:"state"`
 	Members  int              `json:"members"`
 	InFlight int64            `json:"in_flight"`
 	Served   int64            `json:"served"`
@@ -119,7 +119,7 @@
 	v := n.view.Load()
 	s := Status{
 		ID: n.id, Name: n.opt.Name, Domain: n.opt.Domain, UptimeMs: n.clock().Milliseconds(),
-		Config: n.conf.Load().version, Backend: n.backendStatus(), Stopping: n.stopping.Load(),
+		Config: n.conf.Load().version, Backend: n.backendStatus(), State: nodeChart.Text(n.life.get()),
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.served.Load(),
 		Retries: n.stats.retries.Load(), Refusals: n.stats.bySlug(), Cut: n.stats.cut.Load(),
 		Silent: n.peers.silent(), Domains: map[string]bool{}, Replica: n.replicas.status(),
@@ -206,6 +206,10 @@
 	Retries int64            `json:"retries"`
 	Domains map[string]bool  `json:"domains_reachable"`
 	Sheds   map[string]int64 `json:"refusals"`
+	// Service and Overload tell when the backend server beside the node was
+	// last overloaded.
+	Service  string    `json:"service,omitempty"`
+	Overload *overload `json:"overload,omitempty"`
 }
 
 // BurnKind is one request kind's book with its objective.
@@ -216,7 +220,7 @@
 }
 
 func (n *Node) serveBurn(w http.ResponseWriter, _ *http.Request) {
-	out := BurnReport{Node: n.opt.Name, Domain: n.opt.Domain, Retries: n.stats.retries.Load(), Domains: map[string]bool{}, Sheds: n.stats.bySlug()}
+	out := BurnReport{Node: n.opt.Name, Domain: n.opt.Domain, Retries: n.stats.retries.Load(), Domains: map[string]bool{}, Sheds: n.stats.bySlug(), Service: n.meta().Service, Overload: n.overload.Load()}
 	tree := n.conf.Load().tree
 	for _, k := range n.burn.Kinds(time.Now()) {
 		p := tree.Policy(k.Root)
@@ -331,7 +335,14 @@
 
 func (n *Node) serveDrain(w http.ResponseWriter, r *http.Request) {
 	on := r.URL.Query().Get("on") != "false"
-	n.drained.Store(on)
+	e := undrain
+	if on {
+		e = drain
+	}
+	if !n.life.happen(nodeChart, e) {
+		writeRefusal(w, "", fault.New(fault.Conflict, "the node is "+nodeChart.Text(n.life.get())))
+		return
+	}
 	n.publishMeta()
 	n.gossip.nudgeLinks()
 	text := "An operator drains this node."
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -9,6 +9,7 @@
 	"github.com/umberthread/umberthread/admission"
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/backend"
+	"github.com/umberthread/umberthread/internal/chart"
 	"github.com/umberthread/umberthread/member"
 	"github.com/umberthread/umberthread/settings"
 )
@@ -98,9 +99,16 @@
 	defer n.localMu.Unlock()
 	old := n.local.Load()
 	next := &local{
-		service: a.Service, slots: a.Slots, weight: a.Weight, state: state,
+		service: a.Service, slots: a.Slots, weight: a.Weight, life: chart.Start,
 		expires: time.Now().Add(n.opt.Lease.Duration),
 	}
+	if old != nil {
+		next.life = old.life
+	}
+	if to, ok := backendChart.Next(next.life, backendSays[state]); ok {
+		next.life = to
+	}
+	next.state = backendState(next.life)
 	if old != nil && old.client.Addr() == a.Address {
 		next.client = old.client
 	} else {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -71,7 +71,7 @@
 	if token := r.Header.Get(HeaderCall); token != "" {
 		return c, n.joinParent(c, token)
 	}
-	if n.stopping.Load() {
+	if n.stopping() {
 		return nil, c.refusal(fault.Draining, "this node is stopping", 0)
 	}
 	return c, n.openRoot(c, r)
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/chart"
 	"github.com/umberthread/umberthread/internal/ring"
 	"github.com/umberthread/umberthread/internal/wal"
 	"github.com/umberthread/umberthread/raft"
@@ -42,6 +43,7 @@
 	readID  uint64
 	ticks   int
 	role    raft.Role
+	life    chart.State
 	failed  bool
 
 	leaderAddr atomic.Pointer[string]
@@ -143,6 +145,7 @@
 // on: the next start finds the damage and comes back under a new identity.
 func (g *group) fail(err error) {
 	g.failed = true
+	g.happen(diskFailed)
 	g.leads.Store(false)
 	g.r.n.event("replica", "Stopped, its disk failed: "+err.Error())
 }
@@ -193,10 +196,22 @@
 		if role == raft.Leader || g.role == raft.Leader {
 			g.r.n.event("replica", "Group "+formatUint(uint64(g.id))+": this replica is "+role.String()+" in term "+formatUint(g.core.Term())+".")
 		}
+		g.happen(roleEvents[role])
 		g.role = role
 	}
 }
 
+// happen takes an event of the replica chart in. A change of role that the
+// chart does not have is said so: the chart or the core is wrong.
+func (g *group) happen(e chart.Event) {
+	next, ok := replicaChart.Next(g.life, e)
+	if !ok {
+		g.r.n.warn("replica", "A change of role is not in the chart.", "state", replicaChart.Text(g.life))
+		return
+	}
+	g.life = next
+}
+
 func (g *group) compact() {
 	if g.failed || g.core.LogLen() < compactAfter {
 		return
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -15,6 +15,7 @@
 	"github.com/umberthread/umberthread/budget"
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/backend"
+	"github.com/umberthread/umberthread/internal/chart"
 	"github.com/umberthread/umberthread/member"
 )
 
@@ -24,6 +25,9 @@
 	service string
 	slots   int
 	weight  float64
+	// life is the state of the backend chart, and state the same as others
+	// are told it.
+	life    chart.State
 	state   member.State
 	expires time.Time
 	client  *backend.Client
@@ -36,35 +40,54 @@
 	if ferr != nil {
 		return nil, ferr
 	}
+	var p progress
 	kind := n.kinds.index(c.target)
 	code := n.gate.enter(c.scope, admission.Request{
 		Rank: c.rank, Depth: c.depth, Kind: kind, Deadline: n.clock() + c.scope.Remaining(),
 		Busy: n.nested.level(c.root, n.clock()) > 0,
 	})
 	if code != fault.None {
+		p.happen(requestRefuse)
 		l := n.gate.load()
-		return nil, c.refusal(code, "refused beside the backend server", l.level)
+		e := c.refusal(code, "refused beside the backend server", l.level)
+		e.Run = p.run()
+		return nil, e
 	}
+	p.happen(requestAdmit)
 	// The process may have been frozen since the request was admitted.
 	if code := c.scope.Err(); code != fault.None {
 		n.gate.leave(admission.Outcome{})
-		return nil, fault.New(code, "given up before it was run")
+		p.happen(requestExpire)
+		return nil, &fault.Error{Code: code, Run: p.run(), Detail: "given up before it was run"}
 	}
 	w := &work{token: n.newToken(), call: c}
 	n.works.Store(w.token, w)
 	started := time.Now()
+	p.happen(requestSend)
 	resp, err := be.client.Do(c.scope, kind, n.backendRequest(be, c, w, pool))
 	if err != nil {
 		n.endWork(w)
-		n.gate.leave(admission.Outcome{Kind: kind})
 		ferr := fault.From(err)
+		out := admission.Outcome{Kind: kind}
+		if ferr.Code == fault.Deadline {
+			out.Took, out.Expired = time.Since(started), true
+		}
+		n.gate.leave(out)
+		if ferr.Run == fault.RunNo {
+			p.happen(requestNotSent)
+		} else {
+			p.happen(requestLose)
+		}
+		ferr.Run = p.run()
 		n.backendFailed(be, ferr)
 		return nil, ferr
 	}
+	p.happen(requestAnswer)
 	pushback := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	pushback = pushback && resp.Header.Get(HeaderRun) == ""
 	took := time.Since(started)
-	if resp.StatusCode >= http.StatusInternalServerError {
+	expired := resp.StatusCode == http.StatusGatewayTimeout
+	if resp.StatusCode >= http.StatusInternalServerError && !expired {
 		took = 0
 	}
 	a := &answer{status: resp.StatusCode, header: endToEnd(resp.Header), length: resp.ContentLength, body: resp}
@@ -72,7 +95,7 @@
 	a.close = func() {
 		resp.Close()
 		n.endWork(w)
-		n.gate.leave(admission.Outcome{Kind: kind, Took: took, Pushback: pushback})
+		n.gate.leave(admission.Outcome{Kind: kind, Took: took, Expired: expired, Pushback: pushback})
 	}
 	return a, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,14 +62,13 @@
 	tokens  atomic.Uint64
 
 	attempts atomic.Uint64
-	stopping atomic.Bool
-	// drained is set while an operator keeps new work away.
-	drained atomic.Bool
+	life     life
 
-	stats  stats
-	traces *last[Trace]
-	events *last[Event]
-	burn   *burn.Book
+	stats    stats
+	overload atomic.Pointer[overload]
+	traces   *last[Trace]
+	events   *last[Event]
+	burn     *burn.Book
 
 	gossip   *gossiper
 	replicas *replicas
@@ -131,9 +130,6 @@
 // ID returns the process's identity, new at each start.
 func (n *Node) ID() string { return n.id }
 
-// leaving tells whether the backend server gets no new work from this node.
-func (n *Node) leaving() bool { return n.stopping.Load() || n.drained.Load() }
-
 // clock is the time since the start of the process, monotonic.
 func (n *Node) clock() time.Duration { return time.Since(n.start) }
 
@@ -157,6 +153,8 @@
 	n.replicas.start()
 	n.serve("admin", func() error { return n.adminSrv.Serve(lns.admin) })
 	n.awaitConfig()
+	n.life.happen(nodeChart, configured)
+	n.publishMeta()
 	n.serve("data", func() error { return n.wireSrv.Serve(lns.data) })
 	n.serve("http", func() error { return n.httpSrv.Serve(lns.http) })
 	n.info("node", "Serving.", "name", n.opt.Name, "failure_domain", n.opt.Domain, "http", n.opt.HTTP)
@@ -219,11 +217,33 @@
 		case now := <-t.C:
 			n.checkLease(now)
 			n.peers.refresh()
-			n.gate.load()
+			n.watchLevel(now)
 		}
 	}
 }
 
+// overload is when the backend server beside the node was last overloaded.
+type overload struct {
+	Began time.Time `json:"began"`
+	// Ended is the zero time while the overload lasts.
+	Ended time.Time `json:"ended"`
+}
+
+// watchLevel notes when the admission level leaves 0 and returns to it.
+func (n *Node) watchLevel(now time.Time) {
+	l := n.gate.load().level
+	last := n.overload.Load()
+	on := last != nil && last.Ended.IsZero()
+	switch {
+	case l > 0 && !on:
+		n.overload.Store(&overload{Began: now})
+		n.event("admission", "The backend server is overloaded, level "+formatUint(uint64(l))+".")
+	case l == 0 && on:
+		n.overload.Store(&overload{last.Began, now})
+		n.event("admission", "The overload is over after "+now.Sub(last.Began).Round(time.Millisecond).String()+".")
+	}
+}
+
 // drainNotice is how long a stopping node goes on taking what other nodes
 // send before they have heard that it leaves.
 const drainNotice = 500 * time.Millisecond
@@ -232,7 +252,7 @@
 // work, and finishes what is in flight, for at most StopTimeout. It reports
 // whether all was finished.
 func (n *Node) Stop() bool {
-	if !n.stopping.CompareAndSwap(false, true) {
+	if !n.life.happen(nodeChart, stopEvent) {
 		return true
 	}
 	n.info("node", "Leaving.")
@@ -242,6 +262,11 @@
 	defer cancel()
 	time.Sleep(min(drainNotice, n.opt.StopTimeout.Duration/2))
 	done := n.awaitIdle(deadline)
+	if done {
+		n.life.happen(nodeChart, idle)
+	} else {
+		n.life.happen(nodeChart, timedOut)
+	}
 	if err := n.httpSrv.Shutdown(ctx); err != nil {
 		done = false
 	}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/chart"
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/sock"
 )
@@ -39,11 +40,36 @@
 	silent atomic.Int64
 }
 
+// The chart of a connection, and its events.
+var (
+	connChart  = chart.MustLoad("connection")
+	connTake   = connChart.Event("take")
+	connStale  = connChart.Event("stale")
+	connPing   = connChart.Event("ping")
+	connPong   = connChart.Event("pong")
+	connWhole  = connChart.Event("whole")
+	connBroken = connChart.Event("broken")
+	connSilent = connChart.Event("silent")
+	connIdle   = connChart.State("idle")
+	connClosed = connChart.State("closed")
+)
+
 type clientConn struct {
 	*link
+	state   chart.State
 	lastUse time.Time
 }
 
+// happen takes an event in and closes the connection when its chart says so.
+func (conn *clientConn) happen(e chart.Event) {
+	if next, ok := connChart.Next(conn.state, e); ok {
+		conn.state = next
+	}
+	if conn.state == connClosed {
+		_ = conn.Close()
+	}
+}
+
 // NewClient returns a client of the peer at addr.
 func NewClient(addr string, o ClientOptions) *Client {
 	if o.Dialer == nil {
@@ -81,9 +107,10 @@
 	}
 	a.s.Unbind()
 	if a.body.done && len(a.body.rest) == 0 && a.body.err == nil && a.s.Err() == fault.None {
+		a.conn.happen(connWhole)
 		a.c.put(a.conn)
 	} else {
-		_ = a.conn.Close()
+		a.conn.happen(connBroken)
 	}
 	a.conn = nil
 }
@@ -97,20 +124,22 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.PeerLost, err, "cannot connect to "+c.addr)
 	}
+	conn.happen(connTake)
 	if !s.Bind(conn.Conn) {
+		conn.happen(connWhole)
 		c.put(conn)
 		return nil, fault.New(s.Err(), "given up before it was sent")
 	}
-	a, err := c.exchange(s, conn, req, whole, stream)
-	if err != nil {
+	a, ferr := c.exchange(s, conn, req, whole, stream)
+	if ferr != nil {
 		s.Unbind()
-		_ = conn.Close()
-		return nil, err
+		conn.happen(endOf(ferr))
+		return nil, ferr
 	}
 	return a, nil
 }
 
-func (c *Client) exchange(s *scope.Scope, conn *clientConn, req *Request, whole []byte, stream io.Reader) (*Answer, error) {
+func (c *Client) exchange(s *scope.Scope, conn *clientConn, req *Request, whole []byte, stream io.Reader) (*Answer, *fault.Error) {
 	deadline := s.Deadline()
 	_ = conn.SetWriteDeadline(deadline)
 	if err := c.send(conn, req, whole, stream); err != nil {
@@ -232,7 +261,7 @@
 		if now.Sub(conn.lastUse) < c.opt.Silence && conn.br.Buffered() == 0 && sock.Quiet(conn.Conn) {
 			return conn, nil
 		}
-		_ = conn.Close()
+		conn.happen(connStale)
 	}
 	c.dials.Add(1)
 	raw, err := c.opt.Dialer(c.addr, c.opt.DialTimeout)
@@ -257,13 +286,13 @@
 func (c *Client) put(conn *clientConn) {
 	conn.lastUse = time.Now()
 	c.mu.Lock()
-	if len(c.idle) < c.opt.MaxIdle {
+	room := len(c.idle) < c.opt.MaxIdle && conn.state == connIdle
+	if room {
 		c.idle = append(c.idle, conn)
-		conn = nil
 	}
 	c.mu.Unlock()
-	if conn != nil {
-		_ = conn.Close()
+	if !room {
+		conn.happen(connStale)
 	}
 }
 
@@ -275,10 +304,18 @@
 	c.idle = nil
 	c.mu.Unlock()
 	for _, conn := range idle {
-		_ = conn.Close()
+		conn.happen(connStale)
 	}
 }
 
+// endOf tells how a failed exchange ended its connection.
+func endOf(err *fault.Error) chart.Event {
+	if err.Code == fault.PeerSilent {
+		return connSilent
+	}
+	return connBroken
+}
+
 // Close closes the idle connections; requests in work go on.
 func (c *Client) Close() { c.dropIdle() }
 
@@ -299,10 +336,16 @@
 	c.idle = fresh
 	c.mu.Unlock()
 	for i, conn := range stale {
-		if i < len(stale)-refreshed || !conn.ping(c.opt.Silence/2) {
-			_ = conn.Close()
+		if i < len(stale)-refreshed {
+			conn.happen(connStale)
+			continue
+		}
+		conn.happen(connPing)
+		if !conn.ping(c.opt.Silence / 2) {
+			conn.happen(connSilent)
 			continue
 		}
+		conn.happen(connPong)
 		c.put(conn)
 	}
 }
