Make a change of settings cost its own scopes, not the whole tree

Change: a policy is laid over that of the level above instead of parsing all keys for each scope, and a patch resolves only the scopes that it can change. A document with entries of a newer release is handed on whole.

--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -39,6 +39,19 @@
 	hop.Flag("rounds", "Runs of each, in turn.").Default("3").IntVar(&ho.rounds)
 	runs[hop.FullCommand()] = func() error { return runHop(*bin, ho) }
 
+	scale := app.Command("scale", "What a quiet fleet costs a node, and how fast settings spread, against the number of nodes.")
+	var sc scaleOptions
+	scale.Flag("size", "Number of nodes. Repeat for more.").Default("8", "16", "32", "64", "128").IntsVar(&sc.sizes)
+	scale.Flag("for", "How long to watch.").Default("15s").DurationVar(&sc.span)
+	runs[scale.FullCommand()] = func() error { return runScale(*bin, sc) }
+
+	commit := app.Command("commit", "Latency of settings changes and keyed requests with real syncs, on three replicas.")
+	var co commitOptions
+	commit.Flag("changes", "Changes to make.").Default("500").IntVar(&co.changes)
+	commit.Flag("rate", "Requests per second, half of them keyed.").Default("1600").Float64Var(&co.rate)
+	commit.Flag("for", "How long each rate lasts.").Default("8s").DurationVar(&co.span)
+	runs[commit.FullCommand()] = func() error { return runCommit(*bin, co) }
+
 	prove := app.Command("prove", "Run the stateful fuzz tests with fresh seeds; needs the Go toolchain.")
 	proveTime := prove.Flag("time", "How long to go on.").Default("30s").Duration()
 	runs[prove.FullCommand()] = func() error { return runProve(*proveTime) }
--- /dev/null
+++ b/gossip/bench_test.go
@@ -0,0 +1,58 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// domain is a core at the size of two years from now: 1,091 members of its
+// failure domain, and summaries of 150 services in each of 21 others.
+func domain(members int) *Core {
+	c := New(Member{ID: "self", Addr: "10.0.0.1:7002"}, options(rand.New(rand.NewPCG(1, 1))))
+	for i := range members {
+		m := Member{ID: fmt.Sprintf("%016x", i), Addr: fmt.Sprintf("10.0.%d.%d:7002", i/250, i%250), Meta: make([]byte, 120)}
+		c.Merge(0, []Record{memberRecord(m)})
+	}
+	for d := range 21 {
+		for s := range 150 {
+			c.Merge(0, []Record{{Key: fmt.Sprintf("s/domain-%d/fleet/service-%d", d, s), Stamp: 1, Payload: make([]byte, 300)}})
+		}
+	}
+	c.queue = nil
+	c.Take()
+	return c
+}
+
+func BenchmarkProbeRound1091Members(b *testing.B) {
+	c := domain(1091)
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 500 * time.Millisecond
+		c.Tick(now)
+		c.Receive(now, "10.0.0.2:7002", Packet{Kind: Ping, From: fmt.Sprintf("%016x", 1), Seq: 1})
+		c.Receive(now, "10.0.0.2:7002", Packet{Kind: Ack, From: fmt.Sprintf("%016x", 1), Seq: c.seq})
+		c.Take()
+	}
+}
+
+// BenchmarkMemory24000Members builds the cores of 22 failure domains with all
+// 24,000 members' records, one core for each domain, and reports their memory.
+func BenchmarkMemory24000Members(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var cores []*Core
+		for range 22 {
+			cores = append(cores, domain(1091))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/22/(1<<20), "MB/core")
+		runtime.KeepAlive(cores)
+	}
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -243,7 +243,7 @@
 func (n *Node) serveConfig(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get("current") != "true" {
 		c := n.conf.Load()
-		writeJSON(w, ConfigDocument{c.version, c.tree.Entries()})
+		writeJSON(w, ConfigDocument{c.version, c.raw})
 		return
 	}
 	reply, ferr := n.readCurrent(changeTimeout)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"time"
 
 	"github.com/umberthread/umberthread/confstore"
@@ -13,11 +14,14 @@
 type config struct {
 	version uint64
 	tree    *settings.Tree
+	// raw is the whole document, with entries that only a newer release
+	// understands: they are handed on, not used.
+	raw settings.Entries
 	// changes are the last ones, oldest first, for nodes that are behind.
 	changes []confstore.Change
 }
 
-func emptyConfig() *config { return &config{tree: settings.Empty} }
+func emptyConfig() *config { return &config{tree: settings.Empty, raw: settings.Entries{}} }
 
 const (
 	// keptChanges is how many changes a node can hand on.
@@ -32,20 +36,15 @@
 	n.confMu.Lock()
 	defer n.confMu.Unlock()
 	cur := n.conf.Load()
-	entries := cur.tree.Entries()
-	next := &config{version: cur.version, changes: cur.changes[:len(cur.changes):len(cur.changes)]}
+	next := &config{version: cur.version, tree: cur.tree, raw: maps.Clone(cur.raw)}
+	next.changes = cur.changes[:len(cur.changes):len(cur.changes)]
 	for _, c := range cs {
 		if c.Version != next.version+1 {
 			continue
 		}
-		for _, id := range c.Patch.Remove {
-			delete(entries, id)
-		}
-		for id, v := range c.Patch.Set {
-			entries[id] = v
-		}
 		next.version = c.Version
 		next.changes = append(next.changes, c)
+		n.patch(next, c.Patch)
 	}
 	if next.version == cur.version {
 		return
@@ -53,37 +52,55 @@
 	if over := len(next.changes) - keptChanges; over > 0 {
 		next.changes = append([]confstore.Change(nil), next.changes[over:]...)
 	}
-	n.putInForce(next, entries)
+	n.putInForce(next)
+}
+
+func (n *Node) patch(c *config, p settings.Patch) {
+	for _, id := range p.Remove {
+		delete(c.raw, id)
+	}
+	for id, v := range p.Set {
+		c.raw[id] = v
+	}
+	tree, err := c.tree.Apply(p)
+	if err != nil {
+		tree = n.usable(c.raw, c.tree)
+	}
+	c.tree = tree
+}
+
+// usable returns the tree of what this release understands of a document that
+// a newer one has accepted.
+func (n *Node) usable(raw settings.Entries, last *settings.Tree) *settings.Tree {
+	known := settings.Entries{}
+	for id, v := range raw {
+		if settings.Known(id, v) {
+			known[id] = v
+		}
+	}
+	tree, err := settings.NewTree(known)
+	if err != nil {
+		n.warn("config", "Cannot use the settings, the ones before stay in use.", "err", err)
+		return last
+	}
+	if len(known) < len(raw) {
+		n.warn("config", "Left out settings that this release does not know.", "count", len(raw)-len(known))
+	}
+	return tree
 }
 
 // takeFull puts a whole document in force if it is newer.
 func (n *Node) takeFull(version uint64, entries settings.Entries) {
 	n.confMu.Lock()
 	defer n.confMu.Unlock()
-	if version <= n.conf.Load().version {
+	cur := n.conf.Load()
+	if version <= cur.version {
 		return
 	}
-	n.putInForce(&config{version: version}, entries)
+	n.putInForce(&config{version: version, raw: entries, tree: n.usable(entries, cur.tree)})
 }
 
-// putInForce swaps the configuration. An entry that this release does not
-// know is left out and said so: it was accepted by a newer one.
-func (n *Node) putInForce(next *config, entries settings.Entries) {
-	tree, err := settings.NewTree(entries)
-	if err != nil {
-		known := settings.Entries{}
-		for id, v := range entries {
-			if settings.Known(id, v) {
-				known[id] = v
-			}
-		}
-		n.warn("config", "Left out settings that this release does not know.", "err", err)
-		if tree, err = settings.NewTree(known); err != nil {
-			n.warn("config", "Cannot use the settings, the ones before stay in force.", "err", err)
-			tree = n.conf.Load().tree
-		}
-	}
-	next.tree = tree
+func (n *Node) putInForce(next *config) {
 	n.conf.Store(next)
 	n.applyGate()
 	n.gossip.configChanged(next.version)
@@ -117,7 +134,7 @@
 		r.Changes = cur.changes[uint64(len(cur.changes))-behind:]
 		return r
 	}
-	r.Full = cur.tree.Entries()
+	r.Full = cur.raw
 	return r
 }
 
--- a/internal/node/machine.go
+++ b/internal/node/machine.go
@@ -40,11 +40,17 @@
 		// Apply will refuse it and remember that.
 		return nil, nil
 	}
-	tree, err := settings.NewTree(m.store.Entries())
-	if err != nil {
-		return nil, err
+	// A replica puts in force what it applies, so that its node has the tree
+	// of this version; only a change in between needs another.
+	conf := m.n.conf.Load()
+	tree := conf.tree
+	if conf.version != m.store.Version() {
+		var err error
+		if tree, err = settings.NewTree(m.store.Entries()); err != nil {
+			return nil, err
+		}
 	}
-	_, err = tree.Apply(c.Patch)
+	_, err := tree.Apply(c.Patch)
 	return nil, err
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -87,32 +88,54 @@
 	}
 }
 
-// TestDiffApplies checks that the difference of two trees leads from one to
-// the other.
-func TestDiffApplies(t *testing.T) {
-	entry := rapid.Custom(func(t *rapid.T) [2]string {
-		scope := rapid.SampledFrom([]string{"", "a", "a/s", "a/s/k", "b/t/k"}).Draw(t, "scope")
-		return [2]string{scope + "#deadline", rapid.SampledFrom([]string{"1s", "2s", "3s"}).Draw(t, "value")}
-	})
-	tree := rapid.Custom(func(t *rapid.T) *Tree {
-		e := Entries{}
-		for _, kv := range rapid.SliceOfN(entry, 0, 6).Draw(t, "entries") {
-			e[kv[0]] = kv[1]
-		}
-		tr, err := NewTree(e)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return tr
-	})
+// TestApplyIsNewTree checks that a tree changed step by step is the tree of the
+// document that results, policy by policy.
+func TestApplyIsNewTree(t *testing.T) {
+	scopes := []string{"", "a", "a/s", "a/s/k", "a/s/l", "b", "b/t/k"}
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := tree.Draw(t, "a"), tree.Draw(t, "b")
-		got, err := a.Apply(a.Diff(b))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if d := got.Diff(b); len(d.Set)+len(d.Remove) > 0 {
-			t.Fatalf("left over: %+v", d)
+		tree := Empty
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			p := Patch{Set: Entries{}}
+			for range rapid.IntRange(0, 3).Draw(t, "sets") {
+				scope := rapid.SampledFrom(scopes).Draw(t, "scope")
+				if rapid.IntRange(0, 4).Draw(t, "like") == 0 {
+					p.Set[scope+"#like"] = rapid.SampledFrom(scopes).Draw(t, "target")
+				} else {
+					p.Set[scope+"#deadline"] = rapid.SampledFrom([]string{"1s", "2s", "3s"}).Draw(t, "value")
+				}
+			}
+			for id := range tree.Entries() {
+				if _, set := p.Set[id]; !set && rapid.IntRange(0, 5).Draw(t, "remove") == 0 {
+					p.Remove = append(p.Remove, id)
+				}
+			}
+			next, err := tree.Apply(p)
+			want := tree.Entries()
+			for _, id := range p.Remove {
+				delete(want, id)
+			}
+			for id, v := range p.Set {
+				want[id] = v
+			}
+			fresh, freshErr := NewTree(want)
+			if (err == nil) != (freshErr == nil) {
+				t.Fatalf("Apply says %v, NewTree says %v", err, freshErr)
+			}
+			if err != nil {
+				continue
+			}
+			if !slices.Equal(next.Scopes(), fresh.Scopes()) {
+				t.Fatalf("scopes %v, want %v", next.Scopes(), fresh.Scopes())
+			}
+			for _, s := range fresh.Scopes() {
+				if *next.Policy(s) != *fresh.Policy(s) {
+					t.Fatalf("%s: %+v, want %+v", s, *next.Policy(s), *fresh.Policy(s))
+				}
+			}
+			if d := tree.Diff(next); len(d.Set) > len(p.Set) || len(d.Remove) != len(p.Remove) {
+				t.Fatalf("the difference %+v is more than the patch %+v", d, p)
+			}
+			tree = next
 		}
 	})
 }
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -20,9 +22,15 @@
 // Tree is a checked document. It is immutable.
 type Tree struct {
 	entries  Entries
+	own      map[string][]setting
 	policies map[string]*Policy
+	// order holds all scopes, each behind those that it inherits from.
+	order []string
 }
 
+// setting is one entry of a scope.
+type setting struct{ name, value string }
+
 // Empty is the tree without entries: every key has its default.
 var Empty = mustTree(Entries{})
 
@@ -37,20 +45,53 @@
 // NewTree checks a document whole and resolves every scope in it. The entries
 // are kept and must not be changed afterwards.
 func NewTree(e Entries) (*Tree, error) {
-	for _, id := range e.sorted() {
-		if err := checkEntry(id, e[id]); err != nil {
-			return nil, err
-		}
+	if err := checkAll(e); err != nil {
+		return nil, err
+	}
+	t := &Tree{entries: e, own: map[string][]setting{}, policies: map[string]*Policy{}, order: e.scopes()}
+	for id, v := range e {
+		scope, name, _ := strings.Cut(id, "#")
+		t.own[scope] = append(t.own[scope], setting{name, v})
 	}
-	t := &Tree{entries: e, policies: map[string]*Policy{}}
-	for _, scope := range e.scopes() {
-		chain, err := t.chain(scope)
+	return t, t.resolveAll(nil, nil)
+}
+
+// resolveAll resolves the scopes. Those that no touched scope can change are
+// taken from old, if it is given: a change of one service must not cost the
+// work of all.
+func (t *Tree) resolveAll(old *Tree, touched map[string]bool) error {
+	stale := map[string]bool{}
+	for _, scope := range t.order {
+		likes, err := t.likes(scope)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		t.policies[scope] = t.resolve(chain)
+		var p *Policy
+		if old != nil && !touched[scope] && !stale[parentOf(scope)] && len(likes) == 0 {
+			p = old.policies[scope]
+		}
+		if p == nil {
+			stale[scope] = true
+			p = t.resolve(scope, likes)
+		}
+		t.policies[scope] = p
+	}
+	return nil
+}
+
+// checkAll checks each entry on its own. Of several wrong ones the first in
+// the order of their places is told.
+func checkAll(e Entries) error {
+	bad := ""
+	for id, v := range e {
+		if (bad == "" || id < bad) && checkEntry(id, v) != nil {
+			bad = id
+		}
+	}
+	if bad == "" {
+		return nil
 	}
-	return t, nil
+	return checkEntry(bad, e[bad])
 }
 
 func (e Entries) sorted() []string {
@@ -80,50 +121,85 @@
 	return out
 }
 
-// chain returns the scopes that give a scope its values, nearest first: the
-// scope, those it is like, then the same for each level above. It fails on a
+// likes returns the scopes that a scope is like, nearest first. It fails on a
 // cycle and on a like that names nothing.
-func (t *Tree) chain(scope string) ([]string, error) {
-	var chain []string
-	for level := scope; ; level = parentOf(level) {
-		seen := map[string]bool{}
-		for s := level; ; {
-			if seen[s] {
-				return nil, fault.Newf(fault.InvalidSetting, "%s: like = %q closes a cycle", placeName(level), s)
-			}
-			seen[s] = true
-			chain = append(chain, s)
-			next := t.entries[s+"#like"]
-			if next == "" {
-				break
-			}
-			if depthOf(next) != depthOf(level) || !t.has(next) {
-				return nil, fault.Newf(fault.InvalidSetting, "%s: like = %q; allowed is an existing scope of the same level", placeName(s), next)
-			}
-			s = next
+func (t *Tree) likes(scope string) ([]string, error) {
+	var out []string
+	for s := scope; ; {
+		next := t.entries[s+"#like"]
+		if next == "" {
+			return out, nil
 		}
-		if level == "" {
-			return chain, nil
+		if depthOf(next) != depthOf(scope) || !t.has(next) {
+			return nil, fault.Newf(fault.InvalidSetting, "%s: like = %q; allowed is an existing scope of the same level", placeName(s), next)
 		}
+		if next == scope || slices.Contains(out, next) {
+			return nil, fault.Newf(fault.InvalidSetting, "%s: like = %q closes a cycle", placeName(scope), next)
+		}
+		out = append(out, next)
+		s = next
 	}
 }
 
+// has tells whether the document has the scope or one below it.
 func (t *Tree) has(scope string) bool {
-	for id := range t.entries {
-		if strings.HasPrefix(id, scope+"#") || strings.HasPrefix(id, scope+"/") {
+	if len(t.own[scope]) > 0 {
+		return true
+	}
+	for s := range t.own {
+		if strings.HasPrefix(s, scope+"/") {
 			return true
 		}
 	}
 	return false
 }
 
-func (t *Tree) resolve(chain []string) *Policy {
-	p := &Policy{}
+// resolve lays the entries of the scopes that a scope is like, and its own,
+// over the policy of the level above.
+func (t *Tree) resolve(scope string, likes []string) *Policy {
+	p := builtIn
+	if scope != "" {
+		p = *t.policies[parentOf(scope)]
+		p.Like = ""
+	}
+	for i := len(likes) - 1; i >= 0; i-- {
+		t.lay(&p, likes[i])
+	}
+	t.lay(&p, scope)
+	return &p
+}
+
+func (t *Tree) lay(p *Policy, scope string) {
+	for _, s := range t.own[scope] {
+		if k := keyIndex[s.name]; k != nil {
+			k.set(p, s.value)
+		}
+	}
+}
+
+// builtIn is the policy of a document without entries.
+var builtIn = func() Policy {
+	var p Policy
 	for i := range keys {
-		value, _ := t.lookup(chain, &keys[i])
-		keys[i].set(p, value)
+		keys[i].set(&p, keys[i].Default)
 	}
 	return p
+}()
+
+// chain returns the scopes that give a scope its values, nearest first: the
+// scope, those it is like, then the same for each level above.
+func (t *Tree) chain(scope string) ([]string, error) {
+	var chain []string
+	for level := scope; ; level = parentOf(level) {
+		likes, err := t.likes(level)
+		if err != nil {
+			return nil, err
+		}
+		chain = append(append(chain, level), likes...)
+		if level == "" {
+			return chain, nil
+		}
+	}
 }
 
 // lookup returns the value of a key along a chain and the scope it is from.
@@ -164,11 +240,7 @@
 
 // Entries returns a copy of the document.
 func (t *Tree) Entries() Entries {
-	out := make(Entries, len(t.entries))
-	for k, v := range t.entries {
-		out[k] = v
-	}
-	return out
+	return maps.Clone(t.entries)
 }
 
 // Explained is one effective value and where it comes from.
@@ -201,19 +273,66 @@
 	Remove []string
 }
 
-// Apply returns the tree with the patch, checked whole.
+// Apply returns the tree with the patch, checked.
 func (t *Tree) Apply(p Patch) (*Tree, error) {
+	touched := map[string]bool{}
 	next := t.Entries()
 	for _, id := range p.Remove {
 		if _, ok := next[id]; !ok {
 			return nil, fault.Newf(fault.InvalidSetting, "%s: not set, so it cannot be removed", id)
 		}
 		delete(next, id)
+		touched[scopeOf(id)] = true
+	}
+	if err := checkAll(p.Set); err != nil {
+		return nil, err
 	}
 	for id, v := range p.Set {
 		next[id] = v
+		touched[scopeOf(id)] = true
+	}
+	nt := &Tree{entries: next, own: maps.Clone(t.own), policies: make(map[string]*Policy, len(t.policies)), order: t.order}
+	nt.regroup(t, p, touched)
+	return nt, nt.resolveAll(t, touched)
+}
+
+func scopeOf(id string) string {
+	scope, _, _ := strings.Cut(id, "#")
+	return scope
+}
+
+// regroup brings own and order up to a patch of old.
+func (t *Tree) regroup(old *Tree, p Patch, touched map[string]bool) {
+	changed := map[string]bool{}
+	for _, id := range p.Remove {
+		changed[id] = true
+	}
+	for id := range p.Set {
+		changed[id] = true
+	}
+	for scope := range touched {
+		var kept []setting
+		for _, s := range old.own[scope] {
+			if !changed[scope+"#"+s.name] {
+				kept = append(kept, s)
+			}
+		}
+		t.own[scope] = kept
+	}
+	for id, v := range p.Set {
+		scope, name, _ := strings.Cut(id, "#")
+		t.own[scope] = append(t.own[scope], setting{name, v})
+	}
+	reorder := len(p.Remove) > 0
+	for scope := range touched {
+		reorder = reorder || old.policies[scope] == nil
+		if len(t.own[scope]) == 0 {
+			delete(t.own, scope)
+		}
+	}
+	if reorder {
+		t.order = t.entries.scopes()
 	}
-	return NewTree(next)
 }
 
 // Diff returns the patch that turns t into to.
