--- /dev/null
+++ b/internal/backend/client_test.go
@@ -0,0 +1,123 @@
+package backend
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/relay"
+	"github.com/umberthread/umberthread/internal/scope"
+)
+
+func options() Options {
+	return Options{MaxConns: 4, IdleMax: 10 * time.Second, DialTimeout: 200 * time.Millisecond, Quiet: 100 * time.Millisecond}
+}
+
+func request(path string, body []byte) *http.Request {
+	r := &http.Request{Method: http.MethodPost, URL: &url.URL{Path: path}, Host: "backend", Header: http.Header{}, ContentLength: int64(len(body))}
+	if body != nil {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	return r
+}
+
+func get(c *Client, path string, limit time.Duration) (string, *fault.Error) {
+	resp, err := c.Do(scope.New(time.Now().Add(limit)), 1, request(path, []byte("in")))
+	if err != nil {
+		return "", fault.From(err)
+	}
+	defer resp.Close()
+	b, err := io.ReadAll(resp)
+	if err != nil {
+		return "", fault.From(err)
+	}
+	return string(b), nil
+}
+
+func listen(t *testing.T, h http.HandlerFunc) (direct, addr string, r *relay.Relay) {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	direct = strings.TrimPrefix(s.URL, "http://")
+	r, err := relay.Start("127.0.0.1:0", direct)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return direct, r.Addr(), r
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	b, _ := io.ReadAll(r.Body)
+	_, _ = w.Write(append([]byte(r.URL.Path+" "), b...))
+}
+
+// TestSilentConnectionToABackendServerIsFound: the open connection goes silent
+// for good while new ones work. It must not hold its request until the
+// deadline, and the next request must not meet it.
+func TestSilentConnectionToABackendServerIsFound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, addr, r := listen(t, echo)
+	c := New(addr, options())
+	for range enoughSamples + 1 {
+		body, ferr := get(c, "/a", time.Second)
+		g.Expect(ferr).To(gomega.BeNil())
+		g.Expect(body).To(gomega.Equal("/a in"))
+	}
+	g.Expect(r.SilenceOpen()).To(gomega.Equal(1))
+	started := time.Now()
+	_, ferr := get(c, "/b", 10*time.Second)
+	g.Expect(ferr).NotTo(gomega.BeNil())
+	g.Expect(ferr.Code).To(gomega.Equal(fault.PeerSilent))
+	g.Expect(ferr.Run).To(gomega.Equal(fault.RunUnknown))
+	g.Expect(time.Since(started)).To(gomega.BeNumerically("<", time.Second))
+	body, ferr := get(c, "/c", time.Second)
+	g.Expect(ferr).To(gomega.BeNil())
+	g.Expect(body).To(gomega.Equal("/c in"))
+}
+
+func TestSlowKindIsNotSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, addr, _ := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		echo(w, r)
+	})
+	c := New(addr, options())
+	body, ferr := get(c, "/a", 5*time.Second)
+	g.Expect(ferr).To(gomega.BeNil())
+	g.Expect(body).To(gomega.Equal("/a in"))
+}
+
+func TestConnectionsStayWithinTheDeclaredNumber(t *testing.T) {
+	g := gomega.NewWithT(t)
+	hold := make(chan struct{})
+	direct, _, _ := listen(t, func(http.ResponseWriter, *http.Request) { <-hold })
+	c := New(direct, options())
+	defer close(hold)
+	for range 4 {
+		go func() { _, _ = get(c, "/held", 5*time.Second) }()
+	}
+	g.Eventually(func() int { c.mu.Lock(); defer c.mu.Unlock(); return c.open }).Should(gomega.Equal(4))
+	_, ferr := get(c, "/more", time.Second)
+	g.Expect(ferr.Code).To(gomega.Equal(fault.Overload))
+	g.Expect(ferr.Run).To(gomega.Equal(fault.RunNo))
+}
+
+func TestCutOffAnswerIsAnError(t *testing.T) {
+	g := gomega.NewWithT(t)
+	direct, _, _ := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("only a part"))
+		panic(http.ErrAbortHandler)
+	})
+	_, ferr := get(New(direct, options()), "/a", time.Second)
+	g.Expect(ferr).NotTo(gomega.BeNil())
+}
--- /dev/null
+++ b/internal/node/input_test.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/standin"
+)
+
+const inputSettings = `
+[fleet.suva.service.doc-vault.kind.upload]
+body_max = 20000000
+replay_max = 1000
+deadline = "5s"
+[fleet.suva.service.doc-vault.kind.small]
+body_max = 100
+deadline = "400ms"
+`
+
+func startVault(t *testing.T) (*testNode, *standin.Server) {
+	n := startNode(t, "suva-a", nil, nil)
+	useSettings(t, inputSettings, n)
+	s := startStandin(t, n, "suva/doc-vault", 4, map[string]standin.Kind{"upload": {Answer: 64}, "small": {Answer: 64}})
+	n.serves("suva/doc-vault", 1)
+	return n, s
+}
+
+func TestBadInputGetsATypedRefusalAtOnce(t *testing.T) {
+	n, _ := startVault(t)
+	for name, c := range map[string]struct {
+		path   string
+		body   []byte
+		header map[string]string
+		want   fault.Code
+	}{
+		"unknown service": {path: "suva/nothing/upload", want: fault.UnknownService},
+		"unknown kind":    {path: "suva/doc-vault/nothing", want: fault.UnknownKind},
+		"short path":      {path: "suva/doc-vault", want: fault.BadRequest},
+		"bad name":        {path: "suva/doc-vault/%20", want: fault.BadRequest},
+		"large body":      {path: "suva/doc-vault/small", body: make([]byte, 101), want: fault.TooLarge},
+		"bad time":        {path: "suva/doc-vault/small", header: map[string]string{HeaderRemaining: "soon"}, want: fault.BadRequest},
+		"negative time":   {path: "suva/doc-vault/small", header: map[string]string{HeaderRemaining: "-5"}, want: fault.BadRequest},
+		"long request id": {path: "suva/doc-vault/small", header: map[string]string{HeaderRequestID: strings.Repeat("x", 200)}, want: fault.BadRequest},
+		"unknown call":    {path: "suva/doc-vault/small", header: map[string]string{HeaderCall: "nobody"}, want: fault.Canceled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := n.call(c.path, "", c.body, c.header)
+			g.Expect(r.err).NotTo(gomega.HaveOccurred())
+			g.Expect(r.header.Get("Content-Type")).To(gomega.Equal("application/problem+json"))
+			g.Expect(r.problem().Reason).To(gomega.Equal(c.want.String()))
+			g.Expect(r.problem().Run).To(gomega.Equal("no"))
+		})
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(n.call("suva/doc-vault/small", "", []byte("x"), nil).status).To(gomega.Equal(200))
+}
+
+func TestLargeUploadIsStreamed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, _ := startVault(t)
+	r := n.call("suva/doc-vault/upload", "up", make([]byte, 10<<20), nil)
+	g.Expect(r.status).To(gomega.Equal(200), r.body)
+	g.Expect(r.body).To(gomega.HavePrefix(fmt.Sprintf("up %d\n", 10<<20)))
+}
+
+// TestBodyOfUnknownLengthIsBounded sends more than allowed in chunks.
+func TestBodyOfUnknownLengthIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, _ := startVault(t)
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.opt.HTTP+"/call/suva/doc-vault/small", io.MultiReader(bytes.NewReader(make([]byte, 4096))))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	g.Expect(resp.StatusCode).To(gomega.BeNumerically(">=", 400))
+}
+
+// TestSlowSenderEndsWithItsDeadline sends a head and then nothing.
+func TestSlowSenderEndsWithItsDeadline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, _ := startVault(t)
+	conn, err := net.Dial("tcp", n.opt.HTTP)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /call/suva/doc-vault/small HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nabc")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	started := time.Now()
+	_ = conn.SetReadDeadline(started.Add(5 * time.Second))
+	b, _ := io.ReadAll(conn)
+	g.Expect(string(b)).To(gomega.ContainSubstring("bad-request"))
+	g.Expect(time.Since(started)).To(gomega.BeNumerically("<", 2*time.Second))
+}
+
+func TestOversizedHeadersAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, _ := startVault(t)
+	r := n.call("suva/doc-vault/small", "", nil, map[string]string{"X-Large": strings.Repeat("x", 1<<20)})
+	g.Expect(r.err != nil || r.status == http.StatusRequestHeaderFieldsTooLarge).To(gomega.BeTrue())
+	g.Expect(n.call("suva/doc-vault/small", "", []byte("x"), nil).status).To(gomega.Equal(200))
+}
+
+// TestCallerThatLeavesCancelsTheWork checks that the slot is free at once.
+func TestCallerThatLeavesCancelsTheWork(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, s := startVault(t)
+	other := startNode(t, "suva-a", []string{n.opt.Control}, nil)
+	useSettings(t, inputSettings, other)
+	other.serves("suva/doc-vault", 1)
+	s.SetFaults(standin.Faults{Hang: true})
+	client := http.Client{Timeout: 200 * time.Millisecond}
+	for _, entry := range []*testNode{n, other} {
+		_, err := client.Post("http://"+entry.opt.HTTP+"/call/suva/doc-vault/upload", "text/plain", strings.NewReader("x"))
+		g.Expect(err).To(gomega.HaveOccurred())
+	}
+	g.Eventually(func() int { return n.gate.load().inflight }, 2*time.Second, 5*time.Millisecond).Should(gomega.BeZero())
+}
+
+func TestOptionsAreStrict(t *testing.T) {
+	for name, c := range map[string]struct{ text, want string }{
+		"no domain":    {"", "failure_domain is not set"},
+		"unknown key":  {"failure_domain = \"a\"\nwat = 1", "settings file"},
+		"host name":    {"failure_domain = \"a\"\nhttp = \"localhost:1\"", "allowed is an IP number and a port"},
+		"bad duration": {"failure_domain = \"a\"\nlease = \"1h30m\"", "lease = 1h30m0s; allowed is"},
+		"no unit":      {"failure_domain = \"a\"\nlease = \"3\"", "settings file"},
+		"replicas":     {"failure_domain = \"a\"\nreplicas = 0", "replicas = 0; allowed is 1 to 9"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			_, err := ParseOptions([]byte(c.text))
+			g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.InvalidSetting))
+			g.Expect(err.Error()).To(gomega.ContainSubstring(c.want))
+		})
+	}
+}
+
+func FuzzParseOptions(f *testing.F) {
+	f.Add([]byte("failure_domain = \"a\"\nhttp = \"127.0.0.1:1\""))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		o, err := ParseOptions(data)
+		if err == nil && o.Domain == "" {
+			t.Fatal("accepted without a failure domain")
+		}
+	})
+}
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -49,8 +49,10 @@
 	}
 	e := v.(*path).edge(service)
 	old := rank.Level(e.level.Load())
-	age := now - time.Duration(e.at.Load())
-	keep := edgeKeep * max(0, 1-float64(age)/float64(edgeMemory))
+	keep := 0.0
+	if at := e.at.Load(); at != 0 {
+		keep = edgeKeep * max(0, 1-float64(now-time.Duration(at))/float64(edgeMemory))
+	}
 	next := rank.Level(float64(old)*keep + float64(l)*(1-keep))
 	if next != old {
 		e.level.Store(uint32(next))
