Replace a lost disk without taking its old identity back

Cause, found on a running fleet: after a replica came back without its disk, the leader added the old identity again as a learner, gave it a vote and removed it, every half second, until gossip had forgotten it. Gossip still told of the old process at the same address; and a learner that never answered counted as caught up, because the log was shorter than the lag allowed. Second cause, found by the damaged-disk test: a restarted node alone in its domain asked only the seeds that other domains named, which were its own old address, and waited in vain for 5 s; and the linking members did not tell it their summaries again, for they had told the process before it at that address. Change: the leader asks replicas for their identity; a replica that confirmed nothing lacks everything; seeds stand beside the bootstrap addresses; summaries are kept per process and sent until confirmed.

--- /dev/null
+++ b/cmd/umberbench/hold.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/umberthread/umberthread/fault"
+)
+
+// runHold starts the fleet of the demonstration, prints where it listens and
+// keeps it until it is interrupted.
+func runHold(bin string) (err error) {
+	tree, err := os.ReadFile(kigaliTree)
+	if err != nil {
+		return fault.Wrap(fault.NotFound, err, "run this from the folder of the repository")
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	f, err := startFleet(bin, kigaliDomains, demoServices, func(d, s int) bool { return (d+s)%2 == 0 })
+	if f != nil {
+		defer func() {
+			if serr := f.Stop(); err == nil {
+				err = serr
+			}
+		}()
+	}
+	if err != nil {
+		return err
+	}
+	if _, err := f.Configure(f.Nodes[0], string(tree), nil); err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	var first []string
+	for i, n := range f.Nodes {
+		fmt.Printf("%-14s pid %d  http %s  admin %s  beside %s pid %d at %s\n",
+			n.Name, n.PID(), n.HTTP, n.Admin, f.Servers[i].Service, f.Servers[i].PID(), f.Servers[i].Addr)
+		if !seen[n.Domain] {
+			seen[n.Domain] = true
+			first = append(first, "-n "+n.Admin)
+		}
+	}
+	fmt.Println("folder " + f.Dir)
+	fmt.Println("try: bin/umberctl " + strings.Join(first, " ") + " status")
+	<-stop
+	return nil
+}
--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -20,6 +20,9 @@
 	demo := app.Command("demo", "Kigali in small: whole requests of every kind through a chain.")
 	runs[demo.FullCommand()] = func() error { return runDemo(*bin) }
 
+	hold := app.Command("hold", "Start the fleet of the demonstration and keep it until interrupted.")
+	runs[hold.FullCommand()] = func() error { return runHold(*bin) }
+
 	surge := app.Command("surge", "A surge under several policies, and what became of the requests.")
 	var so surgeOptions
 	surge.Flag("policy", "Policies to run: full, static, off. Repeat for more.").Default("full", "off").EnumsVar(&so.policies, "full", "static", "off")
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -322,6 +322,7 @@
 		after, err := f.Nodes[i].Status()
 		f.ok(err)
 		f.g.Expect(after.Replica.ID).NotTo(gomega.Equal(before.Replica.ID))
+		f.neverAdded(before.Replica.ID)
 	}
 	// Only the two repaired ones are left.
 	f.kill(f.Nodes[0])
@@ -331,6 +332,16 @@
 	f.g.Expect(d.Entries).To(gomega.HaveKeyWithValue("suva#deadline", "2s"))
 }
 
+// neverAdded checks that no leader took a lost identity back into a group.
+func (f *fleet) neverAdded(id string) {
+	f.t.Helper()
+	for _, a := range ctl.AskAll[[]node.Event](f.Admins(), "/v1/events", nil) {
+		for _, e := range a.Value {
+			f.g.Expect(e.Text).NotTo(gomega.ContainSubstring("added " + id))
+		}
+	}
+}
+
 // TestDamagedDiskIsTreatedAsLost flips a bit in a replica's log.
 func TestDamagedDiskIsTreatedAsLost(t *testing.T) {
 	f := newFleet(t)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -57,8 +57,16 @@
 	// Records are the summaries that changed since the last exchange.
 	Records []gossip.Record
 	Config  uint64
-	// Addr is the sender's control address.
-	Addr string
+	// Addr is the sender's control address, and ID its identity: a process
+	// that was restarted at the same address has been sent nothing yet.
+	Addr, ID string
+	// UpTo is the newest stamp that the receiver has of the sender's
+	// summaries once it has taken in Records.
+	UpTo uint64
+	// Have is the newest stamp that the sender has of the summaries of the
+	// process HaveOf: what was not confirmed is sent again.
+	Have   uint64
+	HaveOf string
 	// Known is how many failure domains the sender knows.
 	Known int
 	// Domains are control addresses in those domains, sent only to a node
@@ -72,6 +80,9 @@
 	Control []string
 	Records []gossip.Record
 	Config  uint64
+	ID      string
+	UpTo    uint64
+	Have    uint64
 	Known   int
 	Domains map[string]string
 }
--- a/internal/ctl/page.go
+++ b/internal/ctl/page.go
@@ -77,6 +77,7 @@
 	p.Y.Min, p.Y.Max = 0, 102
 	p.Legend.Left = true
 	p.Legend.YOffs = vg.Points(4)
+	p.Legend.Padding = vg.Points(2)
 	drawn := 0
 	for i, k := range r.Kinds {
 		var pts plotter.XYs
@@ -133,13 +134,22 @@
 		p.Add(bars)
 		p.Legend.Add(burn.Windows[w].Name, bars)
 	}
+	p.Legend.Left = true
+	p.Legend.Padding = vg.Points(2)
 	p.NominalX(names...)
+	widen(p, len(names))
 	p.X.Tick.Label.Rotation = 0.5
 	p.X.Tick.Label.XAlign = draw.XRight
 	p.X.Tick.Label.YAlign = draw.YCenter
 	return svg("Burn by kind", p)
 }
 
+// widen leaves room beside the outer bars, and above them for the legend.
+func widen(p *plot.Plot, bars int) {
+	p.X.Min, p.X.Max = -0.5, float64(bars)-0.5
+	p.Y.Max *= 1.25
+}
+
 // refusalPlot draws the refusals by reason.
 func refusalPlot(r *Report) (*pagePlot, error) {
 	if len(r.Refusals) == 0 {
@@ -164,6 +174,7 @@
 	bars.LineStyle.Width = 0
 	p.Add(bars)
 	p.NominalX(names...)
+	widen(p, len(names))
 	return svg("Refusals by reason", p)
 }
 
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -86,6 +86,9 @@
 		return err
 	}
 	got := AskAll[node.Status](all, "/v1/status", nil)
+	sort.Slice(got, func(i, j int) bool {
+		return got[i].Value.Domain+got[i].Value.Name < got[j].Value.Domain+got[j].Value.Name
+	})
 	if o.JSON {
 		out := []node.Status{}
 		for _, s := range got {
@@ -102,12 +105,20 @@
 			continue
 		}
 		v := s.Value
-		t.row(v.Name, v.Domain, v.Config, dash(v.Backend.Service), v.Backend.State, v.Backend.Limit, v.Backend.InFlight,
+		t.row(v.Name, v.Domain, v.Config, dash(v.Backend.Service), stateText(&v), v.Backend.Limit, v.Backend.InFlight,
 			v.Backend.Level, v.Served, total(v.Refusals), v.Retries, replicaText(v.Replica), cutText(v.Domains))
 	}
 	return t.flush()
 }
 
+// stateText is the backend server's state, or why its node keeps work away.
+func stateText(s *node.Status) string {
+	if s.State != "serving" {
+		return s.Backend.State + ", " + s.State
+	}
+	return s.Backend.State
+}
+
 func dash(s string) string {
 	if s == "" {
 		return "-"
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -105,17 +105,20 @@
 func (a *controlAPI) Exchange(req *control.ExchangeRequest, reply *control.ExchangeReply) error {
 	n := a.n
 	l := n.control.links
-	records, upTo := l.unsent(req.Addr, n.summaries())
 	_, addrs := n.linkMembers()
-	*reply = control.ExchangeReply{Domain: n.opt.Domain, Control: addrs, Records: records, Config: n.conf.Load().version}
+	*reply = control.ExchangeReply{Domain: n.opt.Domain, Control: addrs, Config: n.conf.Load().version, ID: n.id}
 	if req.Domain == n.opt.Domain {
-		reply.Records = nil
 		return nil
 	}
+	if req.HaveOf == n.id {
+		// Else the records assume what another process had.
+		reply.Have = req.UpTo
+	}
+	l.confirmed(req, n.id)
+	reply.Records, reply.UpTo = l.unsent(req.ID, n.summaries())
 	reply.Known, reply.Domains = n.domainsFor(req.Known)
 	n.learnDomains(req.Domains)
 	n.takeExchange(req.Domain, req.Control, req.Records)
-	l.delivered(req.Domain, req.Addr, upTo, req.Known)
 	n.gossip.heard(req.Addr, req.Config)
 	return nil
 }
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -30,6 +30,9 @@
 	commandRing     = 256
 	fetchRing       = 64
 	maxFailedInARow = 3
+	// foreignEnough is how often nodes of other domains must have answered
+	// before a node takes itself for the first of its own.
+	foreignEnough = 10
 )
 
 type datagram struct {
@@ -59,8 +62,10 @@
 	joined  atomic.Bool
 	highest atomic.Uint64
 	// seeds are control addresses in this failure domain that nodes of other
-	// domains named; only the sync duty uses them.
-	seeds []string
+	// domains named, and foreign is how often one of those answered before a
+	// member did; only the sync duty uses them.
+	seeds   []string
+	foreign int
 }
 
 func newGossiper(n *Node) *gossiper {
@@ -277,14 +282,16 @@
 		return false
 	}
 	g.heard(addr, reply.Config)
-	if len(reply.Seeds) == 0 || g.members() > 0 {
-		g.joined.Store(true)
-	}
 	if reply.Domain != g.n.opt.Domain {
 		g.n.control.learnDomain(reply.Domain, addr)
 		g.seeds = reply.Seeds
-		return len(reply.Seeds) == 0 || g.members() > 0
+		g.foreign++
+		if pickOther(g.seeds, g.n.opt.AdvertiseControl) == "" || g.members() > 0 || g.foreign >= foreignEnough {
+			g.joined.Store(true)
+		}
+		return g.joined.Load()
 	}
+	g.joined.Store(true)
 	var mine []gossip.Record
 	g.do(func() {
 		g.core.Merge(g.n.clock(), reply.Records)
@@ -311,12 +318,8 @@
 		}
 	}
 	first := append(append([]string(nil), g.n.opt.Bootstrap...), g.seeds...)
-	if len(alive) == 0 && len(g.seeds) > 0 {
-		first = g.seeds
-	}
 	if len(alive) == 0 || round%bootstrapEvery == 0 {
 		if addr := pickOther(first, g.n.opt.AdvertiseControl); addr != "" {
-			g.seeds = nil
 			return addr
 		}
 	}
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -244,7 +244,7 @@
 		}
 	}
 	plan, ok := repair.Next(repair.Group{
-		Conf: conf, Self: g.r.id, Health: health, Candidates: g.r.n.view.Load().replicas,
+		Conf: conf, Self: g.r.id, Health: health, Candidates: g.r.verified(),
 	}, repair.Options{Target: g.r.n.opt.Replicas, ReplaceAfter: g.r.n.opt.ReplaceAfter.Duration, MaxLag: caughtUp})
 	if !ok {
 		return
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -24,8 +24,11 @@
 	mu sync.Mutex
 	// own are the summaries of this domain as this node sees them.
 	own map[string]gossip.Record
-	// sent is, per address, the newest stamp that it has been sent.
-	sent map[string]uint64
+	// acked is, per process, the newest stamp of own that it confirmed, and
+	// have the newest stamp of its summaries that this node has.
+	acked, have map[string]uint64
+	// process is the process last met at an address.
+	process map[string]string
 	// learned are addresses in other domains, by domain.
 	learned map[string]string
 	failed  map[string]int
@@ -35,7 +38,7 @@
 }
 
 func newLinks() *links {
-	return &links{own: map[string]gossip.Record{}, sent: map[string]uint64{}, learned: map[string]string{}, failed: map[string]int{}, known: map[string]int{}}
+	return &links{own: map[string]gossip.Record{}, acked: map[string]uint64{}, have: map[string]uint64{}, process: map[string]string{}, learned: map[string]string{}, failed: map[string]int{}, known: map[string]int{}}
 }
 
 // linkLoop is the duty of the exchanges. Every node runs it; only those that
@@ -137,16 +140,19 @@
 }
 
 func (n *Node) exchange(domain, addr string, own []string) {
-	records, upTo := n.control.links.unsent(addr, n.summaries())
-	req := &control.ExchangeRequest{Domain: n.opt.Domain, Control: own, Records: records, Config: n.conf.Load().version, Addr: n.opt.AdvertiseControl}
-	req.Known, req.Domains = n.domainsFor(n.control.links.knownBy(addr))
+	l := n.control.links
+	id := l.at(addr)
+	req := &control.ExchangeRequest{Domain: n.opt.Domain, Control: own, Config: n.conf.Load().version, Addr: n.opt.AdvertiseControl, ID: n.id}
+	req.Records, req.UpTo = l.unsent(id, n.summaries())
+	req.HaveOf, req.Have = id, l.haveOf(id)
+	req.Known, req.Domains = n.domainsFor(l.knownBy(id))
 	var reply control.ExchangeReply
 	err := n.control.pool.Call(addr, "Exchange", req, &reply, controlTimeout)
 	if err != nil || reply.Domain != domain {
-		n.linkFailed(domain, addr)
+		n.linkFailed(domain)
 		return
 	}
-	n.control.links.delivered(domain, addr, upTo, reply.Known)
+	l.met(domain, addr, &reply)
 	n.learnDomains(reply.Domains)
 	n.takeExchange(domain, reply.Control, reply.Records)
 	n.gossip.heard(addr, reply.Config)
@@ -165,10 +171,9 @@
 	n.publishLink(member.Link{Domain: domain, By: n.id, Reachable: true, Control: controls})
 }
 
-func (n *Node) linkFailed(domain, addr string) {
+func (n *Node) linkFailed(domain string) {
 	l := n.control.links
 	l.mu.Lock()
-	delete(l.sent, addr)
 	l.failed[domain]++
 	cut := l.failed[domain] >= maxFailedInARow
 	l.mu.Unlock()
@@ -233,10 +238,10 @@
 	return out
 }
 
-// unsent takes over the summaries and returns those that the node at addr has
-// not been sent, with the stamp up to which it then has them. A service that
+// unsent takes over the summaries and returns those that a process has not
+// confirmed, with the stamp up to which it then has them. A service that
 // is gone is told once, as a summary without instances.
-func (l *links) unsent(addr string, now []member.Summary) ([]gossip.Record, uint64) {
+func (l *links) unsent(id string, now []member.Summary) ([]gossip.Record, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	present := map[string]bool{}
@@ -256,7 +261,7 @@
 	}
 	var out []gossip.Record
 	for _, r := range l.own {
-		if r.Stamp > l.sent[addr] {
+		if r.Stamp > l.acked[id] {
 			out = append(out, r)
 		}
 	}
@@ -271,16 +276,55 @@
 	l.own[key] = gossip.Record{Key: key, Stamp: l.stamp, Payload: payload}
 }
 
-func (l *links) delivered(domain, addr string, upTo uint64, known int) {
+// maxProcesses bounds the processes that are remembered.
+const maxProcesses = 1024
+
+// met takes in what a reply says of the process at an address.
+func (l *links) met(domain, addr string, reply *control.ExchangeReply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.known[addr] = known
-	l.sent[addr] = max(l.sent[addr], upTo)
+	if len(l.process) > maxProcesses {
+		// Processes that are gone are forgotten; the others are told all again.
+		clear(l.process)
+		clear(l.acked)
+		clear(l.have)
+		clear(l.known)
+	}
+	l.process[addr] = reply.ID
+	l.acked[reply.ID] = reply.Have
+	l.have[reply.ID] = reply.UpTo
+	l.known[reply.ID] = reply.Known
 	l.failed[domain] = 0
 }
 
-func (l *links) knownBy(addr string) int {
+// confirmed takes in what the process that asks has of own, and has given.
+func (l *links) confirmed(req *control.ExchangeRequest, self string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.acked[req.ID] = 0
+	if req.HaveOf == self {
+		l.acked[req.ID] = req.Have
+	}
+	l.have[req.ID] = req.UpTo
+	l.known[req.ID] = req.Known
+	l.failed[req.Domain] = 0
+}
+
+// at returns the process last met at an address, "" if none was.
+func (l *links) at(addr string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.process[addr]
+}
+
+func (l *links) haveOf(id string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.have[id]
+}
+
+func (l *links) knownBy(id string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.known[addr]
+	return l.known[id]
 }
--- /dev/null
+++ b/internal/node/links_test.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/member"
+)
+
+func summary(service string, ids ...string) member.Summary {
+	s := member.Summary{Domain: "a", Service: service}
+	for _, id := range ids {
+		s.Instances = append(s.Instances, member.Remote{ID: id, Addr: "x:1"})
+	}
+	return s
+}
+
+// TestUnconfirmedSummariesAreSentAgain follows one link through a lost answer
+// and a restart of the other side at the same address.
+func TestUnconfirmedSummariesAreSentAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLinks()
+	now := []member.Summary{summary("f/s", "1"), summary("f/t", "2")}
+	first, upTo := l.unsent("p", now)
+	g.Expect(first).To(gomega.HaveLen(2))
+	again, _ := l.unsent("p", now)
+	g.Expect(again).To(gomega.HaveLen(2), "nothing was confirmed")
+	l.met("b", "addr", &control.ExchangeReply{ID: "p", Have: upTo})
+	none, _ := l.unsent(l.at("addr"), now)
+	g.Expect(none).To(gomega.BeEmpty())
+
+	now[0] = summary("f/s", "1", "3")
+	changed, _ := l.unsent("p", now)
+	g.Expect(changed).To(gomega.HaveLen(1))
+
+	// Another process stands at the address now.
+	l.met("b", "addr", &control.ExchangeReply{ID: "q"})
+	all, _ := l.unsent(l.at("addr"), now)
+	g.Expect(all).To(gomega.HaveLen(2))
+
+	gone, _ := l.unsent("q", now[:1])
+	g.Expect(gone).To(gomega.HaveLen(2))
+	s, err := member.DecodeSummary(l.own[member.SummaryKey("a", "f/t")].Payload)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Instances).To(gomega.BeEmpty())
+}
+
+// TestAskingProcessTellsWhatItHas: what it has of another process counts for
+// nothing.
+func TestAskingProcessTellsWhatItHas(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLinks()
+	now := []member.Summary{summary("f/s", "1")}
+	_, upTo := l.unsent("p", now)
+	l.confirmed(&control.ExchangeRequest{ID: "p", Have: upTo, HaveOf: "me"}, "me")
+	none, _ := l.unsent("p", now)
+	g.Expect(none).To(gomega.BeEmpty())
+	l.confirmed(&control.ExchangeRequest{ID: "p", Have: upTo, HaveOf: "before"}, "me")
+	all, _ := l.unsent("p", now)
+	g.Expect(all).To(gomega.HaveLen(1))
+}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/umberthread/umberthread/fault"
@@ -36,6 +37,9 @@
 
 	mu      sync.Mutex
 	senders map[string]*ring.Ring[outgoing]
+
+	// alive are the replicas that answered under their identity.
+	alive atomic.Pointer[[]raft.Peer]
 }
 
 type outgoing struct {
@@ -129,7 +133,72 @@
 	return wal.WriteFile(dir, identityName, []byte(r.id))
 }
 
+// verifyEvery is the time between two rounds of asking replicas who they are.
+const verifyEvery = 500 * time.Millisecond
+
+// verifyLoop is the duty that asks the replicas which others tell of for their
+// identity, while this one leads a group. Gossip is late: it may name the
+// identity that stood at an address before its disk was lost.
+func (r *replicas) verifyLoop() {
+	t := time.NewTicker(verifyEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.n.stop:
+			return
+		case <-t.C:
+		}
+		if r.leadsAny() {
+			alive := r.ask(r.n.view.Load().replicas)
+			r.alive.Store(&alive)
+		}
+	}
+}
+
+func (r *replicas) leadsAny() bool {
+	for _, g := range r.groups {
+		if g.leads.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+// ask returns the replicas that answer under their identity, all asked at once.
+func (r *replicas) ask(told []raft.Peer) []raft.Peer {
+	answers := make([]bool, len(told))
+	var wg sync.WaitGroup
+	for i, p := range told {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var reply control.IdentityReply
+			err := r.n.control.pool.Call(p.Addr, "Identity", &control.Empty{}, &reply, stepTimeout)
+			answers[i] = err == nil && reply.ID == p.ID
+		}()
+	}
+	wg.Wait()
+	var out []raft.Peer
+	for i, p := range told {
+		if answers[i] {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// verified returns the replicas that lately answered under their identity.
+func (r *replicas) verified() []raft.Peer {
+	if p := r.alive.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
 func (r *replicas) start() {
+	if len(r.groups) > 0 {
+		r.n.duty("verify", r.verifyLoop)
+	}
 	for _, g := range r.groups {
 		r.n.duty("replica", g.run)
 	}
--- a/raft/core.go
+++ b/raft/core.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -114,11 +115,16 @@
 
 // Silent returns for how many ticks the leader has heard nothing of a
 // replica, and how many entries it lacks; false if this is not the leader.
+//
+// A replica that has confirmed nothing yet lacks everything.
 func (c *Core) Silent(id string) (ticks int, lag uint64, ok bool) {
 	p := c.peers[id]
 	if c.role != Leader || p == nil {
 		return 0, 0, false
 	}
+	if p.match == 0 {
+		return p.silent, math.MaxUint64, true
+	}
 	return p.silent, c.log.last() - p.match, true
 }
 
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -402,3 +402,20 @@
 		c.step(t)
 	}
 }
+
+// TestALearnerThatNeverAnsweredLacksEverything: a leader whose log is short
+// must not take a silent learner for one that has caught up.
+func TestALearnerThatNeverAnsweredLacksEverything(t *testing.T) {
+	snap := Form(Peer{ID: "a"}, nil)
+	c := New(Options{ID: "a", Election: 10, Heartbeat: 2, MaxBatch: 4, Rand: rand.New(rand.NewPCG(1, 1))}, State{Term: 1, Commit: 1}, snap, nil)
+	c.Campaign()
+	for rd := c.Ready(); !rd.Empty(); rd = c.Ready() {
+		c.Advance(rd)
+	}
+	if err := c.ProposeConf(c.Conf().With(Peer{ID: "b"}, false)); err != nil {
+		t.Fatal(err)
+	}
+	if _, lag, ok := c.Silent("b"); !ok || lag < 1<<60 {
+		t.Fatalf("lag %d of a learner that never answered", lag)
+	}
+}
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -35,7 +35,9 @@
 	Self string
 	// Health has an entry for each member but the leader.
 	Health map[string]Health
-	// Candidates are the replicas that are alive, members or not.
+	// Candidates are replicas that are alive, members or not. Each has
+	// answered under its identity at its address: what others tell of a
+	// replica may be of the one that stood there before its disk was lost.
 	Candidates []raft.Peer
 }
 
