--- a/cmd/umberbench/commit.go
+++ b/cmd/umberbench/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"time"
 
@@ -28,18 +29,27 @@
 	{Target: "suva/claims-hub/status", Share: 0.5, Deadline: 5 * time.Second, Body: 200},
 }
 
+type commitOptions struct {
+	changes int
+	rate    float64
+	span    time.Duration
+}
+
+// quantileOf returns a quantile of sorted durations.
+func quantileOf(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(math.Ceil(q*float64(len(sorted)))))]
+}
+
 // runCommit measures settings changes and keyed requests with real syncs, on
 // three replicas in three failure domains.
-func runCommit(bin string, o commitOptions) (err error) {
-	f, err := harness.New(bin)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if serr := f.Stop(); err == nil {
-			err = serr
-		}
-	}()
+func runCommit(bin string, o commitOptions) error {
+	return withFleet(bin, func(f *harness.Fleet) error { return commit(f, o) })
+}
+
+func commit(f *harness.Fleet, o commitOptions) error {
 	for _, d := range kigaliDomains[:3] {
 		n, err := f.StartNode(harness.NodeSpec{Domain: d, Disk: true, Extra: []string{"replicas = 3", "shards = 4"}})
 		if err != nil {
--- a/cmd/umberbench/demo.go
+++ b/cmd/umberbench/demo.go
@@ -34,37 +34,30 @@
 	{Target: "kigali/rosters/transport", Share: 0.05, Deadline: 5 * time.Second},
 }
 
-func runDemo(bin string) (err error) {
+func runDemo(bin string) error {
 	tree, err := os.ReadFile(kigaliTree)
 	if err != nil {
 		return fault.Wrap(fault.NotFound, err, "run this from the folder of the repository")
 	}
 	fmt.Println("Starting 8 nodes and 8 stand-in backend servers in 4 failure domains.")
-	f, err := startFleet(bin, kigaliDomains, demoServices, func(d, s int) bool { return (d+s)%2 == 0 })
-	if f != nil {
-		defer func() {
-			if serr := f.Stop(); err == nil {
-				err = serr
-			}
-		}()
-	}
-	if err != nil {
-		return err
-	}
-	version, err := f.Configure(f.Nodes[0], string(tree), nil)
+	var r *load.Result
+	served := 0
+	err = withFleet(bin, func(f *harness.Fleet) error {
+		if err := startDemo(f, string(tree)); err != nil {
+			return err
+		}
+		fmt.Println("The settings are in force on all nodes. Sending requests.")
+		if err := awaitServed(f, demoKinds); err != nil {
+			return err
+		}
+		r = load.Run(load.Options{Entries: f.Entries(), Kinds: demoKinds, Phases: []load.Phase{{Rate: 60, For: 6 * time.Second}}})
+		served = printOutcomes(r)
+		fmt.Println("Stopping all gracefully.")
+		return nil
+	})
 	if err != nil {
 		return err
 	}
-	fmt.Printf("Settings version %d is in force on all nodes. Sending requests.\n", version)
-	if err := awaitServed(f, demoKinds); err != nil {
-		return err
-	}
-	r := load.Run(load.Options{Entries: f.Entries(), Kinds: demoKinds, Phases: []load.Phase{{Rate: 60, For: 6 * time.Second}}})
-	served := printOutcomes(r)
-	fmt.Println("Stopping all gracefully.")
-	if err := f.Stop(); err != nil {
-		return err
-	}
 	fmt.Printf("demo: served=%d of=%d\n", served, len(r.Outcomes))
 	if served != len(r.Outcomes) {
 		return fault.New(fault.Internal, "not all requests were served")
@@ -72,6 +65,16 @@
 	return nil
 }
 
+// startDemo starts two instances of each service, each in two of the four
+// failure domains, with the settings of Kigali.
+func startDemo(f *harness.Fleet, tree string) error {
+	if err := startFleet(f, kigaliDomains, demoServices, func(d, s int) bool { return (d+s)%2 == 0 }); err != nil {
+		return err
+	}
+	_, err := f.Configure(f.Nodes[0], tree, nil)
+	return err
+}
+
 // awaitServed waits until each kind is served at every node.
 func awaitServed(f *harness.Fleet, kinds []load.Kind) error {
 	return harness.Await(20*time.Second, func() error {
--- a/cmd/umberbench/fleet.go
+++ b/cmd/umberbench/fleet.go
@@ -18,14 +18,24 @@
 	kinds []string
 }
 
-// startFleet starts one node and stand-in of each service in each domain given
-// by place, with a replica in each of the first three domains, and waits until
-// every node can route to every service.
-func startFleet(bin string, domains []string, services []serviceShape, place func(domain, service int) bool) (*harness.Fleet, error) {
+// withFleet runs do on an empty fleet and stops its processes afterwards.
+func withFleet(bin string, do func(f *harness.Fleet) error) (err error) {
 	f, err := harness.New(bin)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	defer func() {
+		if serr := f.Stop(); err == nil {
+			err = serr
+		}
+	}()
+	return do(f)
+}
+
+// startFleet starts one node and stand-in of each service in each domain given
+// by place, with a replica in each of the first three domains, and waits until
+// every node can route to every service.
+func startFleet(f *harness.Fleet, domains []string, services []serviceShape, place func(domain, service int) bool) error {
 	for d, domain := range domains {
 		disk := d < 3
 		for i := range services {
@@ -34,19 +44,19 @@
 			}
 			n, err := f.StartNode(harness.NodeSpec{Domain: domain, Disk: disk, Extra: []string{"replicas = 3", "shards = 2"}})
 			if err != nil {
-				return f, err
+				return err
 			}
 			disk = false
 			s := services[i]
 			if _, err := f.StartServer(n, harness.ServerSpec{Service: s.name, Slots: s.slots, Connections: s.conns, Kinds: s.kinds}); err != nil {
-				return f, err
+				return err
 			}
 		}
 	}
 	if err := f.Form(f.Nodes[0]); err != nil {
-		return f, err
+		return err
 	}
-	return f, awaitReplicas(f, 3)
+	return awaitReplicas(f, 3)
 }
 
 func awaitReplicas(f *harness.Fleet, n int) error {
--- a/cmd/umberbench/hold.go
+++ b/cmd/umberbench/hold.go
@@ -8,31 +8,29 @@
 	"syscall"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/harness"
 )
 
 // runHold starts the fleet of the demonstration, prints where it listens and
 // keeps it until it is interrupted.
-func runHold(bin string) (err error) {
+func runHold(bin string) error {
 	tree, err := os.ReadFile(kigaliTree)
 	if err != nil {
 		return fault.Wrap(fault.NotFound, err, "run this from the folder of the repository")
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
-	f, err := startFleet(bin, kigaliDomains, demoServices, func(d, s int) bool { return (d+s)%2 == 0 })
-	if f != nil {
-		defer func() {
-			if serr := f.Stop(); err == nil {
-				err = serr
-			}
-		}()
-	}
-	if err != nil {
-		return err
-	}
-	if _, err := f.Configure(f.Nodes[0], string(tree), nil); err != nil {
-		return err
-	}
+	return withFleet(bin, func(f *harness.Fleet) error {
+		if err := startDemo(f, string(tree)); err != nil {
+			return err
+		}
+		printFleet(f)
+		<-stop
+		return nil
+	})
+}
+
+func printFleet(f *harness.Fleet) {
 	seen := map[string]bool{}
 	var first []string
 	for i, n := range f.Nodes {
@@ -45,6 +43,4 @@
 	}
 	fmt.Println("folder " + f.Dir)
 	fmt.Println("try: bin/umberctl " + strings.Join(first, " ") + " status")
-	<-stop
-	return nil
 }
--- a/cmd/umberbench/hop.go
+++ b/cmd/umberbench/hop.go
@@ -23,16 +23,11 @@
 
 // runHop measures calls of a stand-in that answers at once, directly and
 // through two nodes, in turn.
-func runHop(bin string, o hopOptions) (err error) {
-	f, err := harness.New(bin)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if serr := f.Stop(); err == nil {
-			err = serr
-		}
-	}()
+func runHop(bin string, o hopOptions) error {
+	return withFleet(bin, func(f *harness.Fleet) error { return hop(f, o) })
+}
+
+func hop(f *harness.Fleet, o hopOptions) error {
 	entry, err := f.StartNode(harness.NodeSpec{Domain: "nyarugenge", Disk: true, Extra: []string{"replicas = 1"}})
 	if err != nil {
 		return err
--- a/cmd/umberbench/scale.go
+++ b/cmd/umberbench/scale.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"os"
 	"sort"
 	"strconv"
@@ -35,23 +34,14 @@
 func runScale(bin string, o scaleOptions) error {
 	fmt.Println("nodes  cpu/node  control in+out/node  rss/node  change in force: median  worst of 10")
 	for _, n := range o.sizes {
-		if err := scaleOne(bin, n, o.span); err != nil {
+		if err := withFleet(bin, func(f *harness.Fleet) error { return scaleOne(f, n, o.span) }); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func scaleOne(bin string, size int, span time.Duration) (err error) {
-	f, err := harness.New(bin)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if serr := f.Stop(); err == nil {
-			err = serr
-		}
-	}()
+func scaleOne(f *harness.Fleet, size int, span time.Duration) error {
 	for i := range size {
 		spec := harness.NodeSpec{Domain: kigaliDomains[i%len(kigaliDomains)], Disk: i < 3, Extra: []string{"replicas = 3"}}
 		if _, err := f.StartNode(spec); err != nil {
@@ -184,17 +174,3 @@
 	}
 	return last, nil
 }
-
-type commitOptions struct {
-	changes int
-	rate    float64
-	span    time.Duration
-}
-
-// quantileOf returns a quantile of sorted durations.
-func quantileOf(sorted []time.Duration, q float64) time.Duration {
-	if len(sorted) == 0 {
-		return 0
-	}
-	return sorted[min(len(sorted)-1, int(math.Ceil(q*float64(len(sorted)))))]
-}
--- a/cmd/umberbench/surge.go
+++ b/cmd/umberbench/surge.go
@@ -145,19 +145,19 @@
 }
 
 func oneSurge(bin string, o surgeOptions, policy string, times float64) (fg *figures, err error) {
+	err = withFleet(bin, func(f *harness.Fleet) error {
+		fg, err = surge(f, o, policy, times)
+		return err
+	})
+	return fg, err
+}
+
+func surge(f *harness.Fleet, o surgeOptions, policy string, times float64) (*figures, error) {
 	tree, err := os.ReadFile(kigaliTree)
 	if err != nil {
 		return nil, fault.Wrap(fault.NotFound, err, "run this from the folder of the repository")
 	}
-	f, err := startFleet(bin, kigaliDomains, surgeServices, func(int, int) bool { return true })
-	if f != nil {
-		defer func() {
-			if serr := f.Stop(); err == nil {
-				err = serr
-			}
-		}()
-	}
-	if err != nil {
+	if err := startFleet(f, kigaliDomains, surgeServices, func(int, int) bool { return true }); err != nil {
 		return nil, err
 	}
 	if _, err := f.Configure(f.Nodes[0], string(tree), settings.Entries{"kigali#policy": policy}); err != nil {
--- a/confstore/history_test.go
+++ b/confstore/history_test.go
@@ -88,7 +88,6 @@
 type member struct {
 	core  *raft.Core
 	store *Store
-	down  bool
 	wait  map[uint64]pending
 	reads map[uint64]int
 	held  []raft.Read
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -223,7 +223,7 @@
 			if n.Wait(0) {
 				continue
 			}
-			r := f.run(load.Options{Entries: []string{n.HTTP}, Kinds: []load.Kind{kind(target, 3*time.Second)}, Phases: []load.Phase{{Rate: 1000, For: time.Millisecond}}})
+			r := load.Run(load.Options{Entries: []string{n.HTTP}, Kinds: []load.Kind{kind(target, 3*time.Second)}, Phases: []load.Phase{{Rate: 1000, For: time.Millisecond}}})
 			for _, o := range r.Outcomes {
 				if !o.OK {
 					return fmt.Errorf("%s: %s", n.Name, o.Reason)
@@ -234,8 +234,6 @@
 	}, 20*time.Second, 50*time.Millisecond).Should(gomega.Succeed())
 }
 
-func (f *fleet) run(o load.Options) *load.Result { return load.Run(o) }
-
 func kind(target string, deadline time.Duration) load.Kind {
 	return load.Kind{Target: target, Share: 1, Deadline: deadline}
 }
@@ -397,6 +395,18 @@
 	t.Logf("%d changes in force on a restarted node after %s", 300, time.Since(started).Round(time.Millisecond))
 }
 
+// underLoad sends requests of a kind, does what is to be tested two seconds
+// later, and returns what became of all requests.
+func (f *fleet) underLoad(entries []string, target string, span time.Duration, during func()) *load.Result {
+	done := make(chan *load.Result, 1)
+	go func() {
+		done <- load.Run(load.Options{Entries: entries, Kinds: []load.Kind{kind(target, 3*time.Second)}, Phases: []load.Phase{{Rate: 150, For: span}}})
+	}()
+	time.Sleep(2 * time.Second)
+	during()
+	return <-done
+}
+
 // TestDrainingServerGetsNothingNewAndNothingIsCut drains a backend server
 // under load and then stops it.
 func TestDrainingServerGetsNothingNewAndNothingIsCut(t *testing.T) {
@@ -405,19 +415,14 @@
 	a := f.server(f.Nodes[0], "suva/cover-desk", 16, "check=30ms", "note=30ms")
 	f.server(f.Nodes[1], "suva/cover-desk", 16, "check=30ms", "note=30ms")
 	f.served("suva/cover-desk/note")
-	var wg sync.WaitGroup
-	var r *load.Result
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		r = f.run(load.Options{Entries: f.Entries(), Kinds: []load.Kind{kind("suva/cover-desk/note", 3*time.Second)}, Phases: []load.Phase{{Rate: 150, For: 6 * time.Second}}})
-	}()
-	time.Sleep(2 * time.Second)
-	f.ok(a.SetFaults(standin.Faults{State: "draining"}))
-	time.Sleep(2 * time.Second)
-	before, err := a.Work()
-	f.ok(err)
-	wg.Wait()
+	var before map[string]standin.Work
+	r := f.underLoad(f.Entries(), "suva/cover-desk/note", 6*time.Second, func() {
+		f.ok(a.SetFaults(standin.Faults{State: "draining"}))
+		time.Sleep(2 * time.Second)
+		var err error
+		before, err = a.Work()
+		f.ok(err)
+	})
 	after, err := a.Work()
 	f.ok(err)
 	f.g.Expect(len(after)).To(gomega.Equal(len(before)), "new work two seconds after the drain")
@@ -435,19 +440,12 @@
 		f.server(n, "suva/cover-desk", 16, "check=30ms", "note=30ms")
 	}
 	f.served("suva/cover-desk/note")
-	var wg sync.WaitGroup
-	var r *load.Result
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		// Callers use the nodes that stay.
-		r = f.run(load.Options{Entries: f.Entries()[:3], Kinds: []load.Kind{kind("suva/cover-desk/note", 3*time.Second)}, Phases: []load.Phase{{Rate: 150, For: 5 * time.Second}}})
-	}()
-	time.Sleep(2 * time.Second)
-	extra.Signal(syscall.SIGTERM)
-	f.g.Expect(extra.Wait(10 * time.Second)).To(gomega.BeTrue())
-	f.g.Expect(extra.Exit()).To(gomega.BeZero())
-	wg.Wait()
+	// Callers use the nodes that stay.
+	r := f.underLoad(f.Entries()[:3], "suva/cover-desk/note", 5*time.Second, func() {
+		extra.Signal(syscall.SIGTERM)
+		f.g.Expect(extra.Wait(10 * time.Second)).To(gomega.BeTrue())
+		f.g.Expect(extra.Exit()).To(gomega.BeZero())
+	})
 	for _, o := range r.Outcomes {
 		f.g.Expect(o.OK).To(gomega.BeTrue(), o.Reason+" "+o.Detail)
 	}
@@ -463,16 +461,7 @@
 		f.server(n, "suva/cover-desk", 16, "check=30ms", "note=30ms")
 	}
 	f.served("suva/cover-desk/check")
-	var wg sync.WaitGroup
-	var r *load.Result
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		r = f.run(load.Options{Entries: f.Entries()[:3], Kinds: []load.Kind{kind("suva/cover-desk/check", 3*time.Second)}, Phases: []load.Phase{{Rate: 150, For: 5 * time.Second}}})
-	}()
-	time.Sleep(2 * time.Second)
-	f.kill(extra)
-	wg.Wait()
+	r := f.underLoad(f.Entries()[:3], "suva/cover-desk/check", 5*time.Second, func() { f.kill(extra) })
 	failed := 0
 	for _, o := range r.Outcomes {
 		if !o.OK {
@@ -502,7 +491,7 @@
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		r = f.run(load.Options{Entries: f.Entries(), Kinds: []load.Kind{k}, Resends: 60, Pause: 100 * time.Millisecond, Phases: []load.Phase{{Rate: 60, For: 8 * time.Second}}})
+		r = load.Run(load.Options{Entries: f.Entries(), Kinds: []load.Kind{k}, Resends: 60, Pause: 100 * time.Millisecond, Phases: []load.Phase{{Rate: 60, For: 8 * time.Second}}})
 	}()
 	time.Sleep(time.Second)
 	entry.Signal(syscall.SIGSTOP)
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -98,10 +98,16 @@
 		}
 		return o.json(out)
 	}
-	t := o.table("NODE", "DOMAIN", "CONFIG", "SERVICE", "STATE", "LIMIT", "IN FLIGHT", "LEVEL", "SERVED", "REFUSED", "RETRIES", "REPLICA", "CUT OFF")
+	head := []any{"NODE", "DOMAIN", "CONFIG", "SERVICE", "STATE", "LIMIT", "IN FLIGHT", "LEVEL", "ENTERED", "REFUSED", "RETRIES", "REPLICA", "CUT OFF"}
+	t := o.table(head...)
 	for _, s := range got {
 		if s.Err != nil {
-			t.row(s.Node, "?", "?", "does not answer")
+			cells := make([]any, len(head))
+			for i := range cells {
+				cells[i] = "?"
+			}
+			cells[0] = s.Node + " does not answer"
+			t.row(cells...)
 			continue
 		}
 		v := s.Value
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -62,15 +62,17 @@
 
 // Status is what umberctl status shows of one node.
 type Status struct {
-	ID       string           `json:"id"`
-	Name     string           `json:"name"`
-	Domain   string           `json:"failure_domain"`
-	UptimeMs int64            `json:"uptime_ms"`
-	Config   uint64           `json:"config_version"`
-	Backend  BackendStatus    `json:"backend"`
-	State    string           `json:"state"`
-	Members  int              `json:"members"`
-	InFlight int64            `json:"in_flight"`
+	ID       string        `json:"id"`
+	Name     string        `json:"name"`
+	Domain   string        `json:"failure_domain"`
+	UptimeMs int64         `json:"uptime_ms"`
+	Config   uint64        `json:"config_version"`
+	Backend  BackendStatus `json:"backend"`
+	State    string        `json:"state"`
+	Members  int           `json:"members"`
+	InFlight int64         `json:"in_flight"`
+	// Served counts the requests of callers, and of the backend server beside
+	// the node, that were answered.
 	Served   int64            `json:"served"`
 	Retries  int64            `json:"retries"`
 	Refusals map[string]int64 `json:"refusals"`
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -35,7 +35,7 @@
 	r       *replicas
 	core    *raft.Core
 	wal     *wal.WAL
-	machine machine
+	sm      stateMachine
 	inbox   *ring.Ring[func()]
 	waiters map[uint64]waiter
 	reads   map[uint64]chan raft.Read
@@ -57,9 +57,9 @@
 	done chan []byte
 }
 
-func openGroup(r *replicas, id int, w *wal.WAL, l wal.Loaded, m machine) (*group, error) {
+func openGroup(r *replicas, id int, w *wal.WAL, l wal.Loaded, m stateMachine) (*group, error) {
 	g := &group{
-		id: id, r: r, wal: w, machine: m, inbox: ring.New[func()](inboxSize),
+		id: id, r: r, wal: w, sm: m, inbox: ring.New[func()](inboxSize),
 		waiters: map[uint64]waiter{}, reads: map[uint64]chan raft.Read{},
 	}
 	g.core = raft.New(raft.Options{
@@ -125,7 +125,7 @@
 			return
 		}
 		if rd.Snapshot != nil {
-			if err := g.machine.restore(rd.Snapshot.Data); err != nil {
+			if err := g.sm.restore(rd.Snapshot.Data); err != nil {
 				g.fail(err)
 				return
 			}
@@ -153,7 +153,7 @@
 func (g *group) apply(e *raft.Entry) {
 	var result []byte
 	if e.Type == raft.EntryData && len(e.Data) > 0 {
-		result = g.machine.apply(e.Data)
+		result = g.sm.apply(e.Data)
 	}
 	w, ok := g.waiters[e.Index]
 	if !ok {
@@ -216,7 +216,7 @@
 	if g.failed || g.core.LogLen() < compactAfter {
 		return
 	}
-	data, err := g.machine.snapshot()
+	data, err := g.sm.snapshot()
 	if err != nil {
 		g.r.n.warn("replica", "Cannot make a snapshot.", "err", err)
 		return
@@ -271,7 +271,7 @@
 			started <- start{err: fault.New(fault.NotLeader, "this replica does not lead")}
 			return
 		}
-		result, err := g.machine.check(command)
+		result, err := g.sm.check(command)
 		if err != nil || result != nil {
 			started <- start{result, err}
 			return
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -101,7 +101,7 @@
 		if err != nil {
 			return err
 		}
-		var m machine = &claimMachine{}
+		var m stateMachine = &claimMachine{}
 		if id == configGroup {
 			m = &confMachine{n: r.n}
 		}
@@ -253,7 +253,7 @@
 	if err := g.wal.Reset(snap, st, nil); err != nil {
 		return err
 	}
-	next, err := openGroup(g.r, g.id, g.wal, wal.Loaded{State: st, Snapshot: snap}, g.machine)
+	next, err := openGroup(g.r, g.id, g.wal, wal.Loaded{State: st, Snapshot: snap}, g.sm)
 	if err != nil {
 		return err
 	}
@@ -385,7 +385,7 @@
 		return 0, nil, fault.New(fault.NotLeader, "this node has no replica")
 	}
 	err = g.read(wait, func() {
-		store := g.machine.(*confMachine).store
+		store := g.sm.(*confMachine).store
 		version, entries = store.Version(), store.Entries()
 	})
 	return version, entries, err
--- a/internal/node/machine.go
+++ b/internal/node/statemachine.go
@@ -9,8 +9,8 @@
 	"github.com/umberthread/umberthread/settings"
 )
 
-// machine is the state machine of a replica group.
-type machine interface {
+// stateMachine is the state machine of a replica group.
+type stateMachine interface {
 	// check refuses a command before it enters the log, or answers it from
 	// what is known; both nil means that it may enter.
 	check(command []byte) (result []byte, err error)
