Tell the truth about execution where calls and attempts are joined

Cause: a refusal passed on by a backend server reached the caller as its own, with run=no, though that server had run the request; and a last attempt that was refused hid an earlier one that may have run. Keyed requests stored such a relayed refusal as their outcome. Change: a node makes a relayed refusal its own, with run=unknown; an attempt that may have run is remembered. Conclusion: run=no is now said only if no attempt of the call was seen.

--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -39,6 +39,8 @@
 	bodyLen int64
 
 	attempts int
+	// mayHaveRun is set if a backend server may have seen an attempt.
+	mayHaveRun bool
 	// picked is set if the last attempt reached an instance.
 	picked  bool
 	started time.Time
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -45,11 +46,19 @@
 	var avoid *route.Instance
 	for {
 		a, in, ferr := n.attempt(c, avoid)
+		c.mayHaveRun = c.mayHaveRun || ferr == nil || ferr.Run != fault.RunNo
 		if ferr == nil && !n.badAnswer(c, a) {
-			return a, nil
+			return n.answered(a)
 		}
 		if !n.mayRetry(c, a, ferr, ratio) {
-			return a, ferr
+			if ferr == nil {
+				return n.answered(a)
+			}
+			if c.mayHaveRun {
+				// An earlier attempt may have run, whatever the last one says.
+				ferr.Run = fault.RunUnknown
+			}
+			return nil, ferr
 		}
 		if a != nil {
 			a.close()
@@ -59,6 +68,28 @@
 	}
 }
 
+// maxProblem bounds the body of a refusal that a backend server passes on.
+const maxProblem = 64 << 10
+
+// answered passes a backend server's answer on. If the answer is the refusal of
+// a call below, it becomes this call's own: the refusal is true of the call
+// below only, for this backend server did run.
+func (n *Node) answered(a *answer) (*answer, *fault.Error) {
+	if fieldValue(a.header, HeaderRun) == "" {
+		return a, nil
+	}
+	defer a.close()
+	var p Problem
+	code := fault.Overload
+	if json.NewDecoder(io.LimitReader(a.body, maxProblem)).Decode(&p) == nil {
+		if known, ok := fault.ParseCode(p.Reason); ok {
+			code = known
+		}
+	}
+	e := fault.New(code, "refused further down: "+p.Detail).Unknown()
+	return nil, e.After(time.Duration(p.RetryAfterMs) * time.Millisecond)
+}
+
 // pathLevel is the level that a new request of this kind must pass at the
 // entry; further down only the levels of the services below count.
 func (n *Node) pathLevel(c *call) rank.Level {
@@ -181,7 +212,8 @@
 // Overload is no fault, and neither is an error that a service below caused.
 func instanceFailed(a *answer, e *fault.Error) bool {
 	if e == nil {
-		return a.status == http.StatusInternalServerError || a.status == http.StatusBadGateway
+		failed := a.status == http.StatusInternalServerError || a.status == http.StatusBadGateway
+		return failed && fieldValue(a.header, HeaderRun) == ""
 	}
 	switch e.Code {
 	case fault.PeerLost, fault.PeerSilent, fault.BackendLost, fault.Protocol, fault.Internal:
--- /dev/null
+++ b/internal/node/honest_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/standin"
+	"github.com/umberthread/umberthread/internal/wire"
+	"github.com/umberthread/umberthread/route"
+)
+
+// TestRefusalBelowIsNotThisRequests: a refusal that a backend server passes on
+// is true of the call below. The request itself did run.
+func TestRefusalBelowIsNotThisRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entry, servers := startChain(t)
+	servers[2].SetFaults(standin.Faults{State: "draining"})
+	g.Eventually(func() string { return entry.call("kigali/sheets/open", "", nil, nil).problem().Reason }, 5*time.Second).
+		Should(gomega.Equal("no-backend"))
+	r := entry.call("kigali/sheets/open", "told", nil, nil)
+	g.Expect(r.problem().Run).To(gomega.Equal("unknown"))
+	g.Expect(r.header.Get(HeaderRun)).To(gomega.Equal("unknown"))
+	g.Expect(r.problem().RetryAfterMs).To(gomega.BeNumerically(">", 0))
+	g.Expect(servers[0].Work()["told"].Runs).To(gomega.Equal(1))
+	g.Expect(servers[2].Work()).NotTo(gomega.HaveKey("told"))
+}
+
+// fakePeer is a node that does with each request what the test says.
+func fakePeer(t *testing.T, h wire.Handler) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := wire.NewServer(h, wire.ServerOptions{Heartbeat: heartbeat, Sweep: sweep, IdleTimeout: time.Minute})
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(s.Close)
+	return ln.Addr().String()
+}
+
+// TestRetryThatWasNotRunDoesNotHideOneThatMayHave: the first attempt breaks off
+// in work, the second is refused, not run.
+func TestRetryThatWasNotRunDoesNotHideOneThatMayHave(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "a", nil, nil)
+	useSettings(t, "[fleet.f.service.s]\nretry_ratio = 1.0\n[fleet.f.service.s.kind.k]\nidempotent = true\nretry_budget = 1", n)
+	var broke, refused atomic.Int32
+	breaks := fakePeer(t, func(x *wire.Exchange) {
+		_, _ = io.ReadAll(x.Body)
+		broke.Add(1)
+	})
+	refuses := fakePeer(t, func(x *wire.Exchange) {
+		_, _ = io.ReadAll(x.Body)
+		refused.Add(1)
+		_ = x.Reply(&wire.Reply{Code: fault.Draining, Run: fault.RunNo}, nil, nil)
+	})
+	instance := func(id, addr string) *route.Instance {
+		return &route.Instance{ID: id, Addr: addr, Slots: 4, Weight: 1, Since: -time.Hour, Seen: &route.Observed{}}
+	}
+	for range 40 {
+		n.routes.Store(&route.Snapshot{Services: map[string]*route.Service{"f/s": {Own: []*route.Instance{instance("1", breaks), instance("2", refuses)}}}})
+		before := broke.Load()
+		r := n.call("f/s/k", "", []byte("x"), nil)
+		want := "no"
+		if broke.Load() > before {
+			want = "unknown"
+		}
+		g.Expect(r.problem().Run).To(gomega.Equal(want), r.body)
+	}
+	g.Expect(broke.Load()).To(gomega.BeNumerically(">", 0))
+	g.Expect(refused.Load()).To(gomega.BeNumerically(">", 0))
+}
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -144,10 +144,6 @@
 		o.n.refuse(w, o.c, ferr)
 		return
 	}
-	if fieldValue(a.header, HeaderRun) == fault.RunNo.String() && a.status >= http.StatusInternalServerError {
-		// A call below was refused, but this backend server did run.
-		a.header = dropField(a.header, HeaderRun)
-	}
 	o.finish(a, body)
 	a.body = bytes.NewReader(body)
 	a.length = int64(len(body))
@@ -167,16 +163,6 @@
 	}
 }
 
-func dropField(fs []wire.Field, name string) []wire.Field {
-	kept := fs[:0]
-	for _, f := range fs {
-		if f.Name != name {
-			kept = append(kept, f)
-		}
-	}
-	return kept
-}
-
 // replay answers from the stored outcome of an earlier run.
 func (n *Node) replay(w http.ResponseWriter, c *call, out *claims.Outcome) {
 	if out == nil {
