Collect garbage less often in the daemon; count calls for the amplification

Cause: collections showed in the time added to a call. Also: the amplification was told against served requests; it is now retries against calls. An interrupted measurement stops its processes; pings of idle connections no longer hold up leases.

--- a/cmd/umberbench/fleet.go
+++ b/cmd/umberbench/fleet.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/umberthread/umberthread/fault"
@@ -29,7 +32,18 @@
 			err = serr
 		}
 	}()
-	return do(f)
+	done := make(chan error, 1)
+	go func() { done <- do(f) }()
+	// An interrupt must not leave processes behind.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(stop)
+	select {
+	case err = <-done:
+		return err
+	case <-stop:
+		return fault.New(fault.Canceled, "interrupted")
+	}
 }
 
 // startFleet starts one node and stand-in of each service in each domain given
--- a/cmd/umberbench/hold.go
+++ b/cmd/umberbench/hold.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/harness"
@@ -18,16 +16,17 @@
 	if err != nil {
 		return fault.Wrap(fault.NotFound, err, "run this from the folder of the repository")
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
-	return withFleet(bin, func(f *harness.Fleet) error {
+	err = withFleet(bin, func(f *harness.Fleet) error {
 		if err := startDemo(f, string(tree)); err != nil {
 			return err
 		}
 		printFleet(f)
-		<-stop
-		return nil
+		select {}
 	})
+	if fault.CodeOf(err) == fault.Canceled {
+		return nil
+	}
+	return err
 }
 
 func printFleet(f *harness.Fleet) {
--- a/cmd/umberbench/surge.go
+++ b/cmd/umberbench/surge.go
@@ -238,45 +238,51 @@
 
 const seriesStep = 250 * time.Millisecond
 
+// tally counts what became of the requests before and during the trigger.
+type tally struct {
+	useful, demanded       float64
+	protected, protectedOK int
+	calm, calmOK           int
+}
+
+// add counts one request, by when it was due. The first second of the trigger
+// is counted too: it is part of the bill.
+func (t *tally) add(out *load.Outcome, from, to time.Duration) {
+	k := surgeKinds[out.Kind]
+	ok := 0
+	if out.OK {
+		ok = 1
+	}
+	switch {
+	case out.Due < from:
+		t.calm++
+		t.calmOK += ok
+	case out.Due < to:
+		t.demanded += float64(k.calls)
+		t.useful += float64(ok * k.calls)
+		if k.protected {
+			t.protected++
+			t.protectedOK += ok
+		}
+	}
+}
+
+func share(part, of int) float64 { return float64(part) / float64(max(1, of)) }
+
 func evaluate(f *harness.Fleet, o surgeOptions, policy string, times float64, r *load.Result) (*figures, error) {
 	fg := &figures{policy: policy, scenario: o.scenario, times: times}
 	from, to := o.before, o.before+o.surge
-	// The first second of the surge is counted too: it is part of the bill.
-	useful, demanded, protected, protectedOK := 0.0, 0.0, 0, 0
-	calmSent, calmOK := 0, 0
-
-	for _, out := range r.Outcomes {
-		k := surgeKinds[out.Kind]
-		if out.Wrong {
+	var t tally
+	for i := range r.Outcomes {
+		t.add(&r.Outcomes[i], from, to)
+		if r.Outcomes[i].Wrong {
 			fg.wrong++
 		}
-		if out.Due < from {
-			calmSent++
-			if out.OK {
-				calmOK++
-			}
-		}
-		if out.Due < from || out.Due >= to {
-			continue
-		}
-
-		demanded += float64(k.calls)
-		if out.OK {
-			useful += float64(k.calls)
-		}
-		if k.protected {
-			protected++
-			if out.OK {
-				protectedOK++
-			}
-		}
 	}
 	capacity := surgeCapacity() * capacityDuring(o.scenario) * o.surge.Seconds()
-	fg.goodput = useful / min(capacity, demanded)
-	fg.calm = float64(calmOK) / float64(max(1, calmSent))
-	if protected > 0 {
-		fg.protected = float64(protectedOK) / float64(protected)
-	}
+	fg.goodput = t.useful / min(capacity, t.demanded)
+	fg.calm = share(t.calmOK, t.calm)
+	fg.protected = share(t.protectedOK, t.protected)
 	if err := fg.account(f, r); err != nil {
 		return nil, err
 	}
@@ -318,19 +324,16 @@
 	if total > 0 {
 		fg.wasted = wasted / total
 	}
-	var served, retries int64
+	var calls, retries int64
 	for _, n := range f.Nodes {
 		st, err := n.Status()
 		if err != nil {
 			return err
 		}
-		served += st.Served
+		calls += st.Calls
 		retries += st.Retries
 	}
-	fg.amplify = 1
-	if served > 0 {
-		fg.amplify = 1 + float64(retries)/float64(served+retries)
-	}
+	fg.amplify = 1 + float64(retries)/float64(max(1, calls))
 	return nil
 }
 
--- a/cmd/umberthreadd/main.go
+++ b/cmd/umberthreadd/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -22,6 +23,12 @@
 node with a data folder also holds replicas of the durable state. SIGTERM stops
 it gracefully: nothing in flight is cut.`
 
+const (
+	gcPercent = 400
+	// memoryLimit leaves room below the 256 MB that a node may take.
+	memoryLimit = 200 << 20
+)
+
 func main() {
 	app := kingpin.New("umberthreadd", help)
 	path := app.Flag("settings", "The process's settings file, TOML.").Short('s').Required().String()
@@ -42,6 +49,10 @@
 	if err != nil {
 		return err
 	}
+	// Collect garbage less often than is usual: collections show in the time
+	// that a node adds to a call. Near the limit they come as often as needed.
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	if err := n.Start(); err != nil {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -73,7 +73,9 @@
 	InFlight int64         `json:"in_flight"`
 	// Served counts the requests of callers, and of the backend server beside
 	// the node, that were answered.
-	Served   int64            `json:"served"`
+	Served int64 `json:"served"`
+	// Calls counts the calls that were sent, Retries those sent again.
+	Calls    int64            `json:"calls"`
 	Retries  int64            `json:"retries"`
 	Refusals map[string]int64 `json:"refusals"`
 	Cut      int64            `json:"cut_off_answers"`
@@ -122,7 +124,7 @@
 	s := Status{
 		ID: n.id, Name: n.opt.Name, Domain: n.opt.Domain, UptimeMs: n.clock().Milliseconds(),
 		Config: n.conf.Load().version, Backend: n.backendStatus(), State: nodeChart.Text(n.life.get()),
-		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.served.Load(),
+		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.served.Load(), Calls: n.stats.calls.Load(),
 		Retries: n.stats.retries.Load(), Refusals: n.stats.bySlug(), Cut: n.stats.cut.Load(),
 		Silent: n.peers.silent(), Domains: map[string]bool{}, Replica: n.replicas.status(),
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -41,6 +41,7 @@
 		defer share.Add(-1)
 		defer c.parent.finished.Add(1)
 	}
+	n.stats.calls.Add(1)
 	ratio := n.ratio(c.service)
 	ratio.Earn(c.policy.RetryRatio)
 	var avoid *route.Instance
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,6 +150,7 @@
 	n.serve("control", func() error { return n.control.serve(lns.control) })
 	n.duty("links", n.linkLoop)
 	n.duty("upkeep", n.upkeepLoop)
+	n.duty("refresh", n.refreshLoop)
 	n.replicas.start()
 	n.serve("admin", func() error { return n.adminSrv.Serve(lns.admin) })
 	n.awaitConfig()
@@ -206,7 +207,7 @@
 	}()
 }
 
-// upkeepLoop is the duty that ends leases and keeps idle connections known.
+// upkeepLoop is the duty that ends leases and notes overloads.
 func (n *Node) upkeepLoop() {
 	t := time.NewTicker(upkeep)
 	defer t.Stop()
@@ -216,12 +217,26 @@
 			return
 		case now := <-t.C:
 			n.checkLease(now)
-			n.peers.refresh()
 			n.watchLevel(now)
 		}
 	}
 }
 
+// refreshLoop is the duty that keeps idle connections known to be alive. A
+// silent one holds it up for a while, and nothing else.
+func (n *Node) refreshLoop() {
+	t := time.NewTicker(upkeep)
+	defer t.Stop()
+	for {
+		select {
+		case <-n.stop:
+			return
+		case <-t.C:
+			n.peers.refresh()
+		}
+	}
+}
+
 // overload is when the backend server beside the node was last overloaded.
 type overload struct {
 	Began time.Time `json:"began"`
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -11,6 +11,8 @@
 // stats are the counters that expvar shows.
 type stats struct {
 	inflight atomic.Int64
+	// calls counts first attempts, retries the others.
+	calls    atomic.Int64
 	retries  atomic.Int64
 	cut      atomic.Int64
 	served   atomic.Int64
