--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -58,6 +58,9 @@
 	// are rare and none comes from the way of a request.
 	commands chan func()
 	linkNow  chan struct{}
+	// stale is set while the routing table lacks what gossip said.
+	stale       bool
+	nextPublish time.Duration
 
 	joined  atomic.Bool
 	highest atomic.Uint64
@@ -113,11 +116,25 @@
 	for _, e := range events {
 		g.tables.take(e)
 	}
-	if len(events) > 0 {
-		g.tables.publish()
+	g.stale = g.stale || len(events) > 0
+	if now := g.n.clock(); g.stale && now >= g.nextPublish {
+		g.publish(now)
 	}
 }
 
+// publishShare is the part of a core that building routing tables may take
+// while the membership changes all the time: one in so many.
+const publishShare = 40
+
+// publish builds the routing table. In a large fleet it waits a while before
+// the next; requests are routed around what changed meanwhile by the refusals
+// that they get.
+func (g *gossiper) publish(now time.Duration) {
+	g.tables.publish()
+	g.stale = false
+	g.nextPublish = now + publishShare*(g.n.clock()-now)
+}
+
 func (g *gossiper) send(o gossip.Out) {
 	o.Packet.Config = g.n.conf.Load().version
 	b := gossip.EncodePacket(o.Packet)
@@ -219,7 +236,7 @@
 	g.post(func() {
 		g.core.SetMeta(g.n.meta().Encode())
 		g.core.Nudge(nudges)
-		g.tables.publish()
+		g.stale = true
 	})
 }
 
@@ -240,7 +257,7 @@
 	g.do(func() {
 		g.core.Leave()
 		g.core.Nudge(2 * nudges)
-		g.tables.publish()
+		g.stale = true
 	})
 	g.nudgeLinks()
 }
--- a/settings/bench_test.go
+++ b/settings/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 )
 
@@ -42,3 +43,20 @@
 		}
 	}
 }
+
+// BenchmarkMemory3300Services reports the memory that a document takes.
+func BenchmarkMemory3300Services(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		t, err := NewTree(large())
+		if err != nil {
+			b.Fatal(err)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/(1<<20), "MB")
+		runtime.KeepAlive(t)
+	}
+}
