--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -21,6 +21,9 @@
 	running int
 	waiting map[*Waiter]bool
 	refused map[*Waiter]bool
+	// reversed turns the queue round before each pop: the broken variant.
+	reversed bool
+	fail     func(format string, args ...any)
 }
 
 func (m *model) arrive(class rank.Class, cohort uint8, deadline time.Duration) {
@@ -37,10 +40,10 @@
 	}
 	if d.Evicted != nil {
 		if !m.waiting[d.Evicted] {
-			m.t.Fatal("evicted what does not wait")
+			m.fail("evicted what does not wait")
 		}
 		if d.Evicted.Request.Rank.Class() > class {
-			m.t.Fatal("evicted a higher class for a lower one")
+			m.fail("evicted a higher class for a lower one")
 		}
 		delete(m.waiting, d.Evicted)
 		m.refused[d.Evicted] = true
@@ -55,7 +58,7 @@
 	}
 	for o := range m.waiting {
 		if o.Request.Rank.Class() < w.Request.Rank.Class() {
-			m.t.Fatalf("class %s was refused while class %s waits", w.Request.Rank.Class(), o.Request.Rank.Class())
+			m.fail("class %s was refused while class %s waits", w.Request.Rank.Class(), o.Request.Rank.Class())
 		}
 	}
 }
@@ -65,6 +68,9 @@
 		return
 	}
 	m.running--
+	if m.reversed {
+		m.reverse()
+	}
 	next, late := m.g.Done(m.now, Outcome{Took: took}, nil)
 	m.end(next, late)
 	for {
@@ -76,6 +82,14 @@
 	}
 }
 
+// reverse puts the last waiter of the queue first.
+func (m *model) reverse() {
+	q := m.g.queue
+	if n := len(q); n > 1 {
+		q.Swap(0, n-1)
+	}
+}
+
 func (m *model) end(next *Waiter, late []*Waiter) {
 	for _, w := range late {
 		delete(m.waiting, w)
@@ -85,15 +99,15 @@
 		return
 	}
 	if m.refused[next] || !m.waiting[next] {
-		m.t.Fatal("a request that was told that it was not run is run")
+		m.fail("a request that was told that it was not run is run")
 	}
 	for o := range m.waiting {
 		if o.Request.Rank.Class() > next.Request.Rank.Class() {
-			m.t.Fatal("a lower class is served before a higher one")
+			m.fail("a lower class is served before a higher one")
 		}
 	}
 	if next.Request.Deadline <= m.now {
-		m.t.Fatal("an expired request is run")
+		m.fail("an expired request is run")
 	}
 	delete(m.waiting, next)
 	m.running++
@@ -101,43 +115,61 @@
 
 func (m *model) check() {
 	if m.running > m.slots || m.running != m.g.InFlight() {
-		m.t.Fatalf("%d run in %d slots, the guard counts %d", m.running, m.slots, m.g.InFlight())
+		m.fail("%d run in %d slots, the guard counts %d", m.running, m.slots, m.g.InFlight())
 	}
 	if m.g.Limit() > m.slots {
-		m.t.Fatalf("limit %d of %d slots", m.g.Limit(), m.slots)
+		m.fail("limit %d of %d slots", m.g.Limit(), m.slots)
 	}
 	if len(m.waiting) != m.g.Queued() {
-		m.t.Fatalf("%d wait, the guard counts %d", len(m.waiting), m.g.Queued())
+		m.fail("%d wait, the guard counts %d", len(m.waiting), m.g.Queued())
 	}
 	for w := range m.waiting {
 		if w.GiveUp() > w.Request.Deadline {
-			m.t.Fatal("a request may wait beyond its deadline")
+			m.fail("a request may wait beyond its deadline")
 		}
 	}
 }
 
 // TestGuardKeepsItsPromises drives a guard with random traffic.
 func TestGuardKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { driveGuard(t, false, t.Fatalf) })
+}
+
+// TestWrongOrderIsFound shows that the checks find a queue in the wrong order.
+func TestWrongOrderIsFound(t *testing.T) {
+	found := false
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{t: t, slots: rapid.IntRange(1, 8).Draw(t, "slots"), waiting: map[*Waiter]bool{}, refused: map[*Waiter]bool{}}
-		m.g = New(Options{Slots: m.slots, QueueMax: rapid.IntRange(0, 6).Draw(t, "queue"), QueueWait: 200 * time.Millisecond, QueueTarget: 3 * time.Millisecond, Window: 50 * time.Millisecond})
-		for range rapid.IntRange(10, 200).Draw(t, "steps") {
-			m.now += time.Duration(rapid.IntRange(0, 20).Draw(t, "pause")) * time.Millisecond
-			for w := range m.waiting {
-				if w.GiveUp() <= m.now && m.g.Expire(m.now, w) {
-					delete(m.waiting, w)
-					m.refused[w] = true
-				}
-			}
-			if rapid.IntRange(0, 2).Draw(t, "what") == 0 {
-				m.done(time.Duration(rapid.IntRange(1, 50).Draw(t, "took")) * time.Millisecond)
-			} else {
-				class := rank.Class(rapid.IntRange(0, rank.Classes-1).Draw(t, "class"))
-				m.arrive(class, rapid.Uint8().Draw(t, "cohort"), time.Duration(rapid.IntRange(1, 300).Draw(t, "deadline"))*time.Millisecond)
-			}
-			m.check()
+		if !found {
+			driveGuard(t, true, func(string, ...any) { found = true })
 		}
 	})
+	if !found {
+		t.Fatal("no check failed")
+	}
+}
+
+func driveGuard(t *rapid.T, reversed bool, fail func(string, ...any)) {
+	m := &model{
+		t: t, slots: rapid.IntRange(1, 8).Draw(t, "slots"), waiting: map[*Waiter]bool{}, refused: map[*Waiter]bool{},
+		reversed: reversed, fail: fail,
+	}
+	m.g = New(Options{Slots: m.slots, QueueMax: rapid.IntRange(0, 6).Draw(t, "queue"), QueueWait: 200 * time.Millisecond, QueueTarget: 3 * time.Millisecond, Window: 50 * time.Millisecond})
+	for range rapid.IntRange(10, 200).Draw(t, "steps") {
+		m.now += time.Duration(rapid.IntRange(0, 20).Draw(t, "pause")) * time.Millisecond
+		for w := range m.waiting {
+			if w.GiveUp() <= m.now && m.g.Expire(m.now, w) {
+				delete(m.waiting, w)
+				m.refused[w] = true
+			}
+		}
+		if rapid.IntRange(0, 2).Draw(t, "what") == 0 {
+			m.done(time.Duration(rapid.IntRange(1, 50).Draw(t, "took")) * time.Millisecond)
+		} else {
+			class := rank.Class(rapid.IntRange(0, rank.Classes-1).Draw(t, "class"))
+			m.arrive(class, rapid.Uint8().Draw(t, "cohort"), time.Duration(rapid.IntRange(1, 300).Draw(t, "deadline"))*time.Millisecond)
+		}
+		m.check()
+	}
 }
 
 // server is a fake backend server under an open load.
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -118,8 +119,24 @@
 	Bootstrap []string
 }
 
+// portTries is how often a node is started: another process may take a port
+// between its choice and the start.
+const portTries = 3
+
 // StartNode starts a node and waits until its admin address answers.
 func (f *Fleet) StartNode(s NodeSpec) (*Node, error) {
+	var n *Node
+	var err error
+	for range portTries {
+		if n, err = f.tryNode(s); err == nil {
+			return n, nil
+		}
+		f.Nodes = slices.DeleteFunc(f.Nodes, func(o *Node) bool { return o == n })
+	}
+	return nil, err
+}
+
+func (f *Fleet) tryNode(s NodeSpec) (*Node, error) {
 	n := &Node{Domain: s.Domain}
 	for _, a := range []*string{&n.HTTP, &n.Data, &n.Control, &n.Admin} {
 		addr, err := sock.FreeAddr()
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -81,8 +81,10 @@
 	Cut      int64            `json:"cut_off_answers"`
 	Silent   int64            `json:"silent_connections"`
 	Control  ControlBytes     `json:"control_bytes"`
-	Replica  *ReplicaStatus   `json:"replica,omitempty"`
-	Domains  map[string]bool  `json:"domains_reachable"`
+	// Dropped counts what full rings have dropped, by ring.
+	Dropped map[string]int64 `json:"dropped"`
+	Replica *ReplicaStatus   `json:"replica,omitempty"`
+	Domains map[string]bool  `json:"domains_reachable"`
 }
 
 // BackendStatus is the backend server beside a node.
@@ -126,7 +128,7 @@
 		Config: n.conf.Load().version, Backend: n.backendStatus(), State: nodeChart.Text(n.life.get()),
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.served.Load(), Calls: n.stats.calls.Load(),
 		Retries: n.stats.retries.Load(), Refusals: n.stats.bySlug(), Cut: n.stats.cut.Load(),
-		Silent: n.peers.silent(), Domains: map[string]bool{}, Replica: n.replicas.status(),
+		Silent: n.peers.silent(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.dropped(),
 	}
 	c := &n.control.counter
 	s.Control = ControlBytes{n.stats.controlIn.Load() + c.In.Load(), n.stats.controlOut.Load() + c.Out.Load()}
@@ -136,6 +138,20 @@
 	return s
 }
 
+// dropped counts what the rings between the duties have dropped.
+func (n *Node) dropped() map[string]int64 {
+	d := map[string]int64{"packets": n.gossip.packets.Dropped(), "fetches": n.gossip.fetches.Dropped()}
+	for _, g := range n.replicas.groups {
+		d["replica_inbox"] += g.inbox.Dropped()
+	}
+	n.replicas.mu.Lock()
+	defer n.replicas.mu.Unlock()
+	for _, s := range n.replicas.senders {
+		d["replica_sender"] += s.Dropped()
+	}
+	return d
+}
+
 func (n *Node) backendStatus() BackendStatus {
 	l := n.gate.load()
 	s := BackendStatus{State: "absent", Limit: l.limit, InFlight: l.inflight, Queued: l.queued, Level: int(l.level)}
