Let a request go on when the backend server beside its entry is lost

Cause: the end of an attempt at the entry's own backend server ended the request's whole scope, so that it was never tried elsewhere, not even when the server had refused the connection. Shown first failing: TestEntryGoesOnWhenItsOwnServerIsLost (502, run=no). Change: an attempt has a scope of its own below the request's. Conclusion: 30 of 30 requests served.

--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -55,6 +55,9 @@
 type work struct {
 	token string
 	call  *call
+	// scope is the life of this attempt. It ends with it, and with it the
+	// calls made for it; the request itself may go on at another instance.
+	scope *scope.Scope
 	// finished counts the calls that it has made.
 	finished atomic.Uint32
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -125,7 +125,7 @@
 	c.root = parent.root
 	c.rank = parent.rank
 	c.depth = w.depth()
-	c.scope = parent.scope.Child(c.started.Add(c.policy.Deadline))
+	c.scope = w.scope.Child(c.started.Add(c.policy.Deadline))
 	c.pool = parent.pool
 	return nil
 }
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -60,11 +60,11 @@
 		p.happen(requestExpire)
 		return nil, &fault.Error{Code: code, Run: p.run(), Detail: "given up before it was run"}
 	}
-	w := &work{token: n.newToken(), call: c}
+	w := &work{token: n.newToken(), call: c, scope: c.scope.Child(c.scope.Deadline())}
 	n.works.Store(w.token, w)
 	started := time.Now()
 	p.happen(requestSend)
-	resp, err := be.client.Do(c.scope, kind, n.backendRequest(be, c, w, pool))
+	resp, err := be.client.Do(w.scope, kind, n.backendRequest(be, c, w, pool))
 	if err != nil {
 		n.endWork(w)
 		ferr := fault.From(err)
@@ -111,7 +111,8 @@
 
 func (n *Node) endWork(w *work) {
 	n.works.Delete(w.token)
-	w.call.scope.Cancel(fault.Canceled)
+	w.scope.Cancel(fault.Canceled)
+	w.scope.Close()
 }
 
 // localFor returns the backend server if it takes the call now.
--- /dev/null
+++ b/internal/node/ownserver_test.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/internal/standin"
+)
+
+// TestEntryGoesOnWhenItsOwnServerIsLost: the backend server beside the entry
+// no longer takes connections. Its request certainly was not run, and goes to
+// another instance, whatever its kind.
+func TestEntryGoesOnWhenItsOwnServerIsLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entry := startNode(t, "a", nil, nil)
+	other := startNode(t, "a", []string{entry.opt.Control}, nil)
+	const doc = "[fleet.f.service.s]\nretry_ratio = 1.0\n[fleet.f.service.s.kind.k]\nretry_budget = 3"
+	useSettings(t, doc, entry, other)
+	kinds := map[string]standin.Kind{"k": {Time: time.Millisecond, Answer: 64}}
+	own := startStandin(t, entry, "f/s", 4, kinds)
+	startStandin(t, other, "f/s", 4, kinds)
+	entry.serves("f/s", 2)
+	own.Stop()
+	for range 30 {
+		r := entry.call("f/s/k", "", nil, nil)
+		g.Expect(r.status).To(gomega.Equal(200), r.body)
+	}
+}
