--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -137,11 +137,16 @@
 		return nil, err
 	}
 	c.times[kind].observe(time.Since(sent))
-	resp, err := http.ReadResponse(cn.br, req)
-	if err != nil {
-		return nil, c.explain(s, err, "reading from")
+	for {
+		resp, err := http.ReadResponse(cn.br, req)
+		if err != nil {
+			return nil, c.explain(s, err, "reading from")
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		// Interim answers (1xx) come before the answer.
 	}
-	return resp, nil
 }
 
 // awaitFirstByte waits for the answer to begin. HTTP/1.1 has no heartbeat, so
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -121,3 +121,32 @@
 	_, ferr := get(New(direct, options()), "/a", time.Second)
 	g.Expect(ferr).NotTo(gomega.BeNil())
 }
+
+// TestInterimAnswersAreNotTheAnswer: a backend server may send 1xx first.
+func TestInterimAnswersAreNotTheAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	direct, _, _ := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Link", "</style.css>; rel=preload")
+		w.WriteHeader(http.StatusEarlyHints)
+		echo(w, r)
+	})
+	body, ferr := get(New(direct, options()), "/a", time.Second)
+	g.Expect(ferr).To(gomega.BeNil())
+	g.Expect(body).To(gomega.Equal("/a in"))
+}
+
+func TestHeadHasNoBody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	direct, _, _ := listen(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "10") })
+	c := New(direct, options())
+	for range 3 {
+		req := request("/a", nil)
+		req.Method = http.MethodHead
+		resp, err := c.Do(scope.New(time.Now().Add(time.Second)), 1, req)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		b, err := io.ReadAll(resp)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(b).To(gomega.BeEmpty())
+		resp.Close()
+	}
+}
--- a/internal/node/chain_test.go
+++ b/internal/node/chain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -82,3 +83,13 @@
 		g.Expect(w).To(gomega.BeEmpty())
 	}
 }
+
+// TestHeadIsForwarded: the answer to HEAD names a length without a body.
+func TestHeadIsForwarded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entry, _ := startChain(t)
+	resp, err := http.Head("http://" + entry.opt.HTTP + "/call/kigali/sheets/open")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_ = resp.Body.Close()
+	g.Expect(resp.StatusCode).To(gomega.Equal(200))
+}
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -34,7 +34,7 @@
 // that this package sets itself on every hop.
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Trailer": true, "Expect": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 	"Proxy-Authenticate": true, "Proxy-Authorization": true,
 	HeaderCall: true, HeaderRemaining: true, HeaderClass: true, HeaderBudget: true, HeaderRequestID: true,
 	HeaderRun: true, HeaderReplayed: true,
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -91,6 +91,10 @@
 		took = 0
 	}
 	a := &answer{status: resp.StatusCode, header: endToEnd(resp.Header), length: resp.ContentLength, body: resp}
+	if c.method == http.MethodHead {
+		// The length is that of the body which a GET would have.
+		a.length = 0
+	}
 	a.header = keepRun(a.header, resp.Header)
 	a.close = func() {
 		resp.Close()
