--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -366,7 +366,7 @@
 	f.g.Expect(string(log)).To(gomega.ContainSubstring("The data folder is damaged and set aside"))
 }
 
-// TestRestartAfterManyChangesKnowsTheLatest restarts everything after 300
+// TestRestartAfterManyChangesKnowsTheLatest restarts everything after 500
 // changes; a node without a disk learns them too.
 func TestRestartAfterManyChangesKnowsTheLatest(t *testing.T) {
 	f := newFleet(t)
@@ -377,7 +377,7 @@
 	d, err := c.Document(true)
 	f.ok(err)
 	v = d.Version
-	for i := range 300 {
+	for i := range 500 {
 		var res node.ChangeResult
 		f.ok(c.Post("/v1/config", node.ChangeRequest{ID: uuid.NewString(), Base: v, Set: settings.Entries{"#deadline": fmt.Sprintf("%dms", 1000+i)}}, &res))
 		f.g.Expect(res.Version).To(gomega.Equal(v + 1))
@@ -392,7 +392,7 @@
 	started := time.Now()
 	f.ok(f.Restart(plain))
 	f.ok(f.AwaitVersion(v, 10*time.Second))
-	t.Logf("%d changes in force on a restarted node after %s", 300, time.Since(started).Round(time.Millisecond))
+	t.Logf("%d changes in force on a restarted node after %s", 500, time.Since(started).Round(time.Millisecond))
 }
 
 // underLoad sends requests of a kind, does what is to be tested two seconds
