--- a/admission/guard.go
+++ b/admission/guard.go
@@ -351,7 +351,3 @@
 	}
 	g.limit = min(slots, g.limit+max(1, slots/16))
 }
-
-// Severity returns the share of arrivals that the level shed in the last
-// window as an estimate of how far demand exceeds capacity, 0..1.
-func (g *Guard) Severity() float64 { return float64(g.ctl.level) / rank.Count }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -132,10 +132,6 @@
 	Formed bool
 }
 
-// DrainRequest asks a node to stop taking new work for its backend server, or
-// to take it again.
-type DrainRequest struct{ On bool }
-
 // Counter counts the bytes of all control connections of a process.
 type Counter struct{ In, Out atomic.Int64 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,34 +207,32 @@
 	}()
 }
 
-// upkeepLoop is the duty that ends leases and notes overloads.
-func (n *Node) upkeepLoop() {
-	t := time.NewTicker(upkeep)
+// every runs a duty's work at a fixed interval until the node stops.
+func (n *Node) every(d time.Duration, work func(now time.Time)) {
+	t := time.NewTicker(d)
 	defer t.Stop()
 	for {
 		select {
 		case <-n.stop:
 			return
 		case now := <-t.C:
-			n.checkLease(now)
-			n.watchLevel(now)
+			work(now)
 		}
 	}
 }
 
+// upkeepLoop is the duty that ends leases and notes overloads.
+func (n *Node) upkeepLoop() {
+	n.every(upkeep, func(now time.Time) {
+		n.checkLease(now)
+		n.watchLevel(now)
+	})
+}
+
 // refreshLoop is the duty that keeps idle connections known to be alive. A
 // silent one holds it up for a while, and nothing else.
 func (n *Node) refreshLoop() {
-	t := time.NewTicker(upkeep)
-	defer t.Stop()
-	for {
-		select {
-		case <-n.stop:
-			return
-		case <-t.C:
-			n.peers.refresh()
-		}
-	}
+	n.every(upkeep, func(time.Time) { n.peers.refresh() })
 }
 
 // overload is when the backend server beside the node was last overloaded.
@@ -318,7 +316,6 @@
 	n.wireSrv.Close()
 	n.control.close()
 	n.gossip.close()
-	n.replicas.close()
 	n.wg.Wait()
 }
 
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -140,19 +140,12 @@
 // identity, while this one leads a group. Gossip is late: it may name the
 // identity that stood at an address before its disk was lost.
 func (r *replicas) verifyLoop() {
-	t := time.NewTicker(verifyEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-r.n.stop:
-			return
-		case <-t.C:
-		}
+	r.n.every(verifyEvery, func(time.Time) {
 		if r.leadsAny() {
 			alive := r.ask(r.n.view.Load().replicas)
 			r.alive.Store(&alive)
 		}
-	}
+	})
 }
 
 func (r *replicas) leadsAny() bool {
@@ -204,8 +197,6 @@
 	}
 }
 
-func (r *replicas) close() {}
-
 // identity returns the identity of the replica on this node's disk, or "".
 func (r *replicas) identity() string {
 	if r == nil {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -63,8 +63,6 @@
 	last Loaded
 	// voted is the term and vote that are synced.
 	voted vote
-
-	syncs int64
 }
 
 // vote is the part of a state that must be synced before it is acted on.
@@ -219,7 +217,7 @@
 	return int64(n)
 }
 
-// writeMark needs no sync: after a crash of the machine an older mark only
+// writeMark needs no sync: after a loss of power an older mark only
 // means that less is held to have been promised.
 func (w *WAL) writeMark() error {
 	var b [markSize]byte
@@ -268,7 +266,6 @@
 	if err := w.f.Sync(); err != nil {
 		return fault.Wrap(fault.Corrupt, err, "cannot sync the log")
 	}
-	w.syncs++
 	w.voted = voteOf(w.last.State)
 	return w.writeMark()
 }
@@ -314,12 +311,6 @@
 	return w.writeMark()
 }
 
-// Syncs returns how often the log was synced.
-func (w *WAL) Syncs() int64 { return w.syncs }
-
-// Size returns the log's size in bytes.
-func (w *WAL) Size() int64 { return w.size }
-
 // Close closes the files.
 func (w *WAL) Close() {
 	_ = w.f.Close()
