--- a/confstore/store.go
+++ b/confstore/store.go
@@ -38,6 +38,10 @@
 	Author, Note string
 	// AtMs is when it was proposed, in Unix milliseconds.
 	AtMs int64
+	// Revision is the operators' own number of the document that the change
+	// leads to, and BaseRevision the one that they made it on. Numbers grow
+	// in uneven steps. A change with Revision 0 has none; it keeps the number.
+	Revision, BaseRevision uint64
 }
 
 // Result is the outcome of a change.
@@ -52,11 +56,15 @@
 	Winner string
 	// Current is the version in force when the change was applied.
 	Current uint64
+	// Revision is the operators' number in force then.
+	Revision uint64
 }
 
 // State is the content of a Store; a snapshot is its encoding.
 type State struct {
 	Version uint64
+	// Revision is the operators' own number of the document, 0 for none.
+	Revision uint64
 	Entries settings.Entries
 	// Results are the last results, oldest first.
 	Results []Result
@@ -99,6 +107,9 @@
 // Version returns the version in force.
 func (st *Store) Version() uint64 { return st.s.Version }
 
+// Revision returns the operators' own number of the document, 0 for none.
+func (st *Store) Revision() uint64 { return st.s.Revision }
+
 // Entries returns the document in force. It must not be changed.
 func (st *Store) Entries() settings.Entries { return st.s.Entries }
 
@@ -125,19 +136,31 @@
 	if r, ok := st.byID[c.ID]; ok {
 		return r
 	}
-	r := Result{ID: c.ID, Current: st.s.Version}
-	if c.Base != st.s.Version {
+	r := Result{ID: c.ID, Current: st.s.Version, Revision: st.s.Revision}
+	if c.Base != st.s.Version || !st.numbered(&c) {
 		r.Code = fault.Conflict
 		r.Winner = st.winner(c.Base + 1)
+		if c.Revision != 0 {
+			// Only the proposing node's base was old, perhaps: it makes the
+			// same change once more on the new one.
+			return r
+		}
 	} else {
 		st.accept(&c)
 		r.Version = c.Version
 		r.Current = c.Version
+		r.Revision = st.s.Revision
 	}
 	st.remember(r)
 	return r
 }
 
+// numbered tells whether the operators' number of a change follows the one in
+// force.
+func (st *Store) numbered(c *Change) bool {
+	return c.Revision == 0 || c.BaseRevision == st.s.Revision && c.Revision > st.s.Revision
+}
+
 // accept copies the document, because nodes read the old one meanwhile.
 func (st *Store) accept(c *Change) {
 	next := make(settings.Entries, len(st.s.Entries)+len(c.Patch.Set))
@@ -153,6 +176,9 @@
 	st.s.Entries = next
 	st.s.Version++
 	c.Version = st.s.Version
+	if c.Revision != 0 {
+		st.s.Revision = c.Revision
+	}
 	st.s.Changes = append(st.s.Changes, *c)
 	if n := len(st.s.Changes) - KeptChanges; n > 0 {
 		st.s.Changes = append([]Change(nil), st.s.Changes[n:]...)
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -48,6 +48,7 @@
 	InvalidSetting
 	NotFound
 	Internal
+	Rejected
 	codeCount
 )
 
@@ -88,6 +89,7 @@
 	InvalidSetting: {"invalid-setting", http.StatusUnprocessableEntity, 3},
 	NotFound:       {"not-found", http.StatusNotFound, 4},
 	Internal:       {"internal", http.StatusInternalServerError, 1},
+	Rejected:       {"rejected", http.StatusServiceUnavailable, 10},
 }
 
 // String returns the code's name as it appears in refusals and metrics.
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -101,8 +101,10 @@
 // Do sends a request and reads the head of the answer. The error's Run is
 // RunNo only if the request cannot have reached the server whole.
 //
-// kind tells which requests take alike long, below MaxKinds.
-func (c *Client) Do(s *scope.Scope, kind uint8, req *http.Request) (*Response, error) {
+// kind tells which requests take alike long, below MaxKinds. mine tells whether
+// an answer belongs to the request, nil if all do; one that does not is read and passed over,
+// as a server may send an answer too many on a connection that is used again.
+func (c *Client) Do(s *scope.Scope, kind uint8, req *http.Request, mine func(*http.Response) bool) (*Response, error) {
 	cn, err := c.get(s)
 	if err != nil {
 		return nil, err
@@ -111,7 +113,7 @@
 		c.put(cn)
 		return nil, fault.New(s.Err(), "given up before it was sent")
 	}
-	resp, err := c.exchange(s, cn, kind%MaxKinds, req)
+	resp, err := c.exchange(s, cn, kind%MaxKinds, req, mine)
 	if err != nil {
 		s.Unbind()
 		c.lost.Add(1)
@@ -121,7 +123,7 @@
 	return &Response{Response: resp, c: c, conn: cn, s: s}, nil
 }
 
-func (c *Client) exchange(s *scope.Scope, cn *conn, kind uint8, req *http.Request) (*http.Response, error) {
+func (c *Client) exchange(s *scope.Scope, cn *conn, kind uint8, req *http.Request, mine func(*http.Response) bool) (*http.Response, error) {
 	_ = cn.SetDeadline(s.Deadline())
 	if err := req.Write(cn.bw); err != nil {
 		return nil, c.explain(s, err, "sending to")
@@ -137,16 +139,40 @@
 		return nil, err
 	}
 	c.times[kind].observe(time.Since(sent))
-	for {
+	for foreign := 0; ; {
 		resp, err := http.ReadResponse(cn.br, req)
 		if err != nil {
 			return nil, c.explain(s, err, "reading from")
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if resp.StatusCode < http.StatusOK {
+			// Interim answers (1xx) come before the answer.
+			continue
+		}
+		if mine == nil || mine(resp) {
 			return resp, nil
 		}
-		// Interim answers (1xx) come before the answer.
+		if foreign++; foreign > maxForeign || !passOver(resp) {
+			return nil, fault.New(fault.Protocol, "the answer belongs to another request").Unknown()
+		}
+	}
+}
+
+const (
+	// maxForeign is how many answers that belong to other requests are passed
+	// over: a server that sends one too many does so once a request.
+	maxForeign = 2
+	// maxForeignBody bounds the body of such an answer, in bytes.
+	maxForeignBody = 1 << 20
+)
+
+// passOver reads the body of an answer that belongs to another request; false
+// if the connection cannot be read on after it.
+func passOver(resp *http.Response) bool {
+	if resp.Close || resp.ContentLength > maxForeignBody {
+		return false
 	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxForeignBody))
+	return err == nil && n < maxForeignBody
 }
 
 // awaitFirstByte waits for the answer to begin. HTTP/1.1 has no heartbeat, so
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -30,7 +30,7 @@
 }
 
 func get(c *Client, path string, limit time.Duration) (string, *fault.Error) {
-	resp, err := c.Do(scope.New(time.Now().Add(limit)), 1, request(path, []byte("in")))
+	resp, err := c.Do(scope.New(time.Now().Add(limit)), 1, request(path, []byte("in")), nil)
 	if err != nil {
 		return "", fault.From(err)
 	}
@@ -142,7 +142,7 @@
 	for range 3 {
 		req := request("/a", nil)
 		req.Method = http.MethodHead
-		resp, err := c.Do(scope.New(time.Now().Add(time.Second)), 1, req)
+		resp, err := c.Do(scope.New(time.Now().Add(time.Second)), 1, req, nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		b, err := io.ReadAll(resp)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -107,6 +107,8 @@
 type SubmitReply struct {
 	Result []byte
 	Code   fault.Code
+	// Run tells whether the command may be applied all the same.
+	Run    fault.Run
 	Detail string
 	// Leader is the control address of the leader as far as known.
 	Leader string
@@ -114,11 +116,17 @@
 
 // ReadRequest asks the leader for the settings in force, confirmed by a
 // quorum.
-type ReadRequest struct{ WaitMs int64 }
+type ReadRequest struct {
+	WaitMs int64
+	// Have is the version that the asking node has in force.
+	Have uint64
+}
 
-// ReadReply brings them.
+// ReadReply brings them; without entries if the asking node has the version.
 type ReadReply struct {
 	Version uint64
+	// Revision is the operators' own number of the document.
+	Revision uint64
 	Entries settings.Entries
 	Code    fault.Code
 	Leader  string
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -24,6 +24,9 @@
 )
 
 func (n *Node) callerRoutes() http.Handler {
+	if n.opt.Edge != nil {
+		return http.HandlerFunc(n.serveCall)
+	}
 	r := mux.NewRouter()
 	r.HandleFunc(announcePath, n.serveAnnounce).Methods(http.MethodPost)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -32,6 +32,10 @@
 	Weight float64 `json:"weight,omitempty"`
 	// State is starting, serving or draining.
 	State string `json:"state"`
+	// Instance is the backend server's identity, new at each of its starts;
+	// empty if it has none. Sequence grows with each announcement under it.
+	Instance string `json:"instance,omitempty"`
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 // Announced answers an Announcement.
@@ -55,14 +59,15 @@
 		writeRefusal(w, "", fault.Wrap(fault.BadRequest, err, "malformed announcement"))
 		return
 	}
-	if ferr := n.announce(&a); ferr != nil {
+	if ferr := n.Announce(&a); ferr != nil {
 		writeRefusal(w, "", ferr)
 		return
 	}
 	writeJSON(w, Announced{LeaseMs: n.opt.Lease.Milliseconds(), Call: "http://" + n.opt.HTTP + callPrefix})
 }
 
-func (n *Node) announce(a *Announcement) *fault.Error {
+// Announce takes in what the backend server beside the node says of itself.
+func (n *Node) Announce(a *Announcement) *fault.Error {
 	state, ok := member.ParseState(a.State)
 	if !ok || state == member.Absent {
 		return fault.Newf(fault.BadRequest, "state = %q; allowed are starting, serving and draining", a.State)
@@ -98,8 +103,17 @@
 	n.localMu.Lock()
 	defer n.localMu.Unlock()
 	old := n.local.Load()
+	if n.outdated(a, old) {
+		return
+	}
+	if old != nil && old.instance != a.Instance {
+		n.retire(old.instance)
+		old.client.Close()
+		old = nil
+	}
 	next := &local{
 		service: a.Service, slots: a.Slots, weight: a.Weight, life: chart.Start,
+		instance: a.Instance, sequence: a.Sequence,
 		expires: time.Now().Add(n.opt.Lease.Duration),
 	}
 	if old != nil {
@@ -125,6 +139,45 @@
 	}
 }
 
+// outdated tells whether an announcement came late: a newer one of the same
+// identity was taken in, or another identity has taken its place. The lock is
+// held.
+func (n *Node) outdated(a *Announcement, old *local) bool {
+	if a.Instance == "" {
+		return false
+	}
+	if n.retired[a.Instance] {
+		return true
+	}
+	return old != nil && old.instance == a.Instance && a.Sequence <= old.sequence
+}
+
+// maxRetired bounds the identities remembered; they are forgotten together.
+const maxRetired = 256
+
+// retire remembers an identity that is gone for good. The lock is held.
+func (n *Node) retire(instance string) {
+	if instance == "" {
+		return
+	}
+	if len(n.retired) >= maxRetired {
+		clear(n.retired)
+	}
+	n.retired[instance] = true
+}
+
+// Withdraw takes in that the backend server with an identity leaves for good.
+// What it has in hand goes on.
+func (n *Node) Withdraw(instance string) {
+	n.localMu.Lock()
+	n.retire(instance)
+	be := n.local.Load()
+	n.localMu.Unlock()
+	if be != nil && be.instance == instance {
+		n.setLocal(nil, "it withdrew")
+	}
+}
+
 const (
 	backendIdleMax     = 30 * time.Second
 	backendDialTimeout = 500 * time.Millisecond
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -39,6 +39,8 @@
 	bodyLen int64
 
 	attempts int
+	// repicks counts the attempts that cost no retry.
+	repicks int
 	// mayHaveRun is set if a backend server may have seen an attempt.
 	mayHaveRun bool
 	started    time.Time
@@ -101,7 +103,7 @@
 func (c *call) refusal(code fault.Code, detail string, l rank.Level) *fault.Error {
 	e := fault.New(code, detail)
 	switch code {
-	case fault.Overload, fault.QueueTimeout, fault.ShareSpent, fault.NoBackend, fault.Draining, fault.Starting:
+	case fault.Overload, fault.QueueTimeout, fault.ShareSpent, fault.NoBackend, fault.Draining, fault.Starting, fault.Rejected:
 		e.RetryAfter = comeBack(l)
 	}
 	return e
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -135,7 +135,7 @@
 	result, err := a.n.replicas.propose(req.Group, req.Command, wait)
 	if err != nil {
 		e := fault.From(err)
-		reply.Code, reply.Detail = e.Code, e.Detail
+		reply.Code, reply.Run, reply.Detail = e.Code, e.Run, e.Detail
 		reply.Leader = a.n.replicas.leaderAddr(req.Group)
 		return nil
 	}
@@ -152,7 +152,10 @@
 		reply.Leader = a.n.replicas.leaderAddr(configGroup)
 		return nil
 	}
-	reply.Version, reply.Entries = version, entries
+	reply.Version = version
+	if version != req.Have {
+		reply.Entries = entries
+	}
 	return nil
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -24,10 +25,10 @@
 // serveCall answers a request of a caller, or of the backend server beside
 // this node, on the goroutine that read it.
 func (n *Node) serveCall(w http.ResponseWriter, r *http.Request) {
-	c, ferr := n.open(r)
+	c, ferr := n.openAny(r)
 	if ferr != nil {
 		n.stats.refused(ferr.Code)
-		writeRefusal(w, r.Header.Get(HeaderRequestID), ferr)
+		n.writeRefusal(w, r, c, ferr)
 		return
 	}
 	stop := context.AfterFunc(r.Context(), func() { c.scope.Cancel(fault.Canceled) })
@@ -51,6 +52,23 @@
 	n.deliver(w, c, a)
 }
 
+// openAny reads what the request says of itself in the words of the edge.
+func (n *Node) openAny(r *http.Request) (*call, *fault.Error) {
+	if n.opt.Edge != nil {
+		return n.openRouted(r)
+	}
+	return n.open(r)
+}
+
+// writeRefusal refuses a request that was not taken in.
+func (n *Node) writeRefusal(w http.ResponseWriter, r *http.Request, c *call, e *fault.Error) {
+	if n.opt.Edge != nil {
+		n.opt.Edge.Refuse(w, c.id, e)
+		return
+	}
+	writeRefusal(w, r.Header.Get(HeaderRequestID), e)
+}
+
 // open reads what the request says of itself and finds its policy. A request
 // with a call token is part of the one that the token names.
 func (n *Node) open(r *http.Request) (*call, *fault.Error) {
@@ -142,7 +160,10 @@
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(c.scope.Deadline())
 	body := http.MaxBytesReader(w, r.Body, int64(c.policy.BodyMax))
-	if c.bodyLen < 0 || c.bodyLen > int64(c.policy.ReplayMax) {
+	if c.bodyLen < 0 {
+		return c.readUnmeasured(body)
+	}
+	if c.bodyLen > int64(c.policy.ReplayMax) {
 		c.stream = body
 		return nil
 	}
@@ -153,6 +174,21 @@
 	return nil
 }
 
+// readUnmeasured keeps a body without a length if it turns out to be small.
+func (c *call) readUnmeasured(body io.Reader) *fault.Error {
+	var buf bytes.Buffer
+	_, err := io.CopyN(&buf, body, int64(c.policy.ReplayMax)+1)
+	switch {
+	case err == nil:
+		c.stream = io.MultiReader(&buf, body)
+	case errors.Is(err, io.EOF):
+		c.body, c.bodyLen = buf.Bytes(), int64(buf.Len())
+	default:
+		return bodyFault(err)
+	}
+	return nil
+}
+
 func bodyFault(err error) *fault.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -168,6 +204,10 @@
 		// Nobody is there to read an answer.
 		panic(http.ErrAbortHandler)
 	}
+	if n.opt.Edge != nil {
+		n.opt.Edge.Refuse(w, c.id, e)
+		return
+	}
 	writeRefusal(w, c.id, e)
 }
 
@@ -179,7 +219,12 @@
 	for _, f := range a.header {
 		h[f.Name] = append(h[f.Name], f.Value)
 	}
-	h.Set(HeaderRequestID, c.id)
+	if n.opt.Edge == nil {
+		h.Set(HeaderRequestID, c.id)
+	} else if _, ok := h["Content-Type"]; !ok {
+		// An empty field keeps net/http from guessing one.
+		h["Content-Type"] = nil
+	}
 	if a.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -146,6 +146,10 @@
 			return false
 		}
 	}
+	if e != nil && neverOffered(e) && c.repicks < maxRepicks {
+		c.repicks++
+		return true
+	}
 	if !c.pool.Spend() {
 		return false
 	}
@@ -156,12 +160,32 @@
 	return true
 }
 
+// maxRepicks is how often a request is sent to another node at no cost: a
+// leaving instance is heard of late, and rarely two in a row.
+const maxRepicks = 3
+
+// neverOffered tells whether a failed attempt certainly ended before any
+// backend server, so that trying another makes no load for any.
+func neverOffered(e *fault.Error) bool {
+	if e.Run != fault.RunNo {
+		return false
+	}
+	switch e.Code {
+	case fault.Draining, fault.Starting, fault.NoBackend, fault.PeerLost:
+		return true
+	default:
+		return false
+	}
+}
+
 // retryHelps tells whether another instance may do better.
 func retryHelps(c *call, in *route.Instance, code fault.Code) bool {
 	switch code {
 	case fault.Overload, fault.QueueTimeout:
 		return c.attempts == 1 && in != nil
-	case fault.PeerLost, fault.PeerSilent, fault.BackendLost, fault.Draining, fault.Starting, fault.Protocol:
+	case fault.NoBackend:
+		return in != nil
+	case fault.PeerLost, fault.PeerSilent, fault.BackendLost, fault.Draining, fault.Starting, fault.Protocol, fault.Rejected:
 		return true
 	default:
 		return false
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -334,7 +334,7 @@
 			alive = append(alive, m.Addr)
 		}
 	}
-	first := append(append([]string(nil), g.n.opt.Bootstrap...), g.seeds...)
+	first := append(append([]string(nil), g.n.bootstrap()...), g.seeds...)
 	if len(alive) == 0 || round%bootstrapEvery == 0 {
 		if addr := pickOther(first, g.n.opt.AdvertiseControl); addr != "" {
 			return addr
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -271,6 +271,10 @@
 			started <- start{err: fault.New(fault.NotLeader, "this replica does not lead")}
 			return
 		}
+		if voters := len(g.core.Conf().Voters); voters < g.r.n.opt.MinVoters {
+			started <- start{err: fault.Newf(fault.NoQuorum, "the group has %d of %d replicas", voters, g.r.n.opt.MinVoters)}
+			return
+		}
 		result, err := g.sm.check(command)
 		if err != nil || result != nil {
 			started <- start{result, err}
--- a/internal/node/honest_test.go
+++ b/internal/node/honest_test.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := wire.NewServer(h, wire.ServerOptions{Heartbeat: heartbeat, Sweep: sweep, IdleTimeout: time.Minute})
+	s := wire.NewServer(h, wire.ServerOptions{Heartbeat: DefaultOptions().Heartbeat.Duration, Sweep: DefaultOptions().Sweep.Duration, IdleTimeout: time.Minute})
 	go func() { _ = s.Serve(ln) }()
 	t.Cleanup(s.Close)
 	return ln.Addr().String()
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -23,8 +23,12 @@
 // It is immutable and swapped whole.
 type local struct {
 	service string
-	slots   int
-	weight  float64
+	// instance is the identity that it announced, "" for none, and sequence
+	// the number of its last announcement.
+	instance string
+	sequence uint64
+	slots    int
+	weight   float64
 	// life is the state of the backend chart, and state the same as others
 	// are told it.
 	life    chart.State
@@ -64,7 +68,11 @@
 	n.works.Store(w.token, w)
 	started := time.Now()
 	p.happen(requestSend)
-	resp, err := be.client.Do(w.scope, kind, n.backendRequest(be, c, w, pool))
+	req, mine := n.requestFor(be, c, w, pool)
+	resp, err := be.client.Do(w.scope, kind, req, mine.check)
+	if err == nil && mine.judged.NotRun != fault.None {
+		return nil, n.rejected(be, c, w, &p, resp, mine.judged.NotRun)
+	}
 	if err != nil {
 		n.endWork(w)
 		ferr := fault.From(err)
@@ -101,9 +109,70 @@
 		n.endWork(w)
 		n.gate.leave(admission.Outcome{Kind: kind, Took: took, Expired: expired, Pushback: pushback})
 	}
+	if n.opt.Edge != nil && c.method != http.MethodHead {
+		if err := a.readWhole(); err != nil {
+			a.close()
+			return nil, fault.Wrap(fault.BackendLost, err, "the answer broke off").Unknown()
+		}
+	}
 	return a, nil
 }
 
+// exchange is one request to the backend server and what its answer says.
+type exchange struct {
+	n      *Node
+	to     Forwarding
+	judged Judgement
+}
+
+// check tells whether an answer belongs to the request.
+func (x *exchange) check(r *http.Response) bool {
+	if x.n.opt.Edge == nil {
+		return true
+	}
+	x.judged = x.n.opt.Edge.Judge(r, x.to)
+	return !x.judged.Foreign
+}
+
+func (n *Node) requestFor(be *local, c *call, w *work, pool *budget.Pool) (*http.Request, *exchange) {
+	x := &exchange{n: n}
+	var req *http.Request
+	if n.opt.Edge != nil {
+		req, x.to = n.edgeRequest(be, c)
+	} else {
+		req = n.backendRequest(be, c, w, pool)
+	}
+	switch {
+	case c.body != nil:
+		req.Body = io.NopCloser(bytes.NewReader(c.body))
+	case c.stream != nil:
+		req.Body = io.NopCloser(c.stream)
+	}
+	return req, x
+}
+
+// rejectionMax is how much of a rejection's body is read to free its
+// connection, in bytes.
+const rejectionMax = 4 << 10
+
+// rejected ends a request that the backend server certainly did not run.
+func (n *Node) rejected(be *local, c *call, w *work, p *progress, resp *backend.Response, code fault.Code) *fault.Error {
+	_, _ = io.CopyN(io.Discard, resp, rejectionMax)
+	resp.Close()
+	n.endWork(w)
+	n.gate.leave(admission.Outcome{Pushback: code == fault.Rejected})
+	p.happen(requestNotSent)
+	if code == fault.NoBackend && n.local.Load() == be {
+		n.setLocal(nil, "another stands at its address")
+	}
+	e := c.refusal(code, "rejected by the backend server", 0)
+	e.Run = p.run()
+	return e
+}
+
+// opaqueURL is a URL that is written as the caller wrote it.
+func opaqueURL(target string) *url.URL { return &url.URL{Opaque: target} }
+
 // keepRun passes on whether a refused call below the backend server was run:
 // it tells the nodes above that the failure is not this instance's.
 func keepRun(fs []wireField, h http.Header) []wireField {
@@ -151,14 +220,7 @@
 	h[HeaderRemaining] = []string{milliseconds(c.scope.Remaining())}
 	h[HeaderClass] = []string{c.rank.Class().String()}
 	h[HeaderBudget] = []string{strconv.Itoa(pool.Left())}
-	req := &http.Request{Method: c.method, URL: u, Host: be.client.Addr(), Header: h, ContentLength: c.bodyLen}
-	switch {
-	case c.body != nil:
-		req.Body = io.NopCloser(bytes.NewReader(c.body))
-	case c.stream != nil:
-		req.Body = io.NopCloser(c.stream)
-	}
-	return req
+	return &http.Request{Method: c.method, URL: u, Host: be.client.Addr(), Header: h, ContentLength: c.bodyLen}
 }
 
 // backendFailed reacts to a backend server that no longer takes connections:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,12 +63,20 @@
 
 	attempts atomic.Uint64
 	life     life
-
-	stats    stats
-	overload atomic.Pointer[overload]
-	traces   *last[Trace]
-	events   *last[Event]
-	burn     *burn.Book
+	// seeds are control addresses of some nodes, from the settings.
+	seeds atomic.Pointer[[]string]
+	// stopAt is when the node began to stop, on its clock.
+	stopAt atomic.Int64
+	// retired are the identities of backend servers that stood here before,
+	// guarded by localMu.
+	retired map[string]bool
+
+	stats     stats
+	latencies latencies
+	overload  atomic.Pointer[overload]
+	traces    *last[Trace]
+	events    *last[Event]
+	burn      *burn.Book
 
 	gossip   *gossiper
 	replicas *replicas
@@ -89,8 +97,6 @@
 const (
 	keptTraces = 4096
 	keptEvents = 512
-	heartbeat  = 200 * time.Millisecond
-	sweep      = 20 * time.Millisecond
 	idleMax    = 2 * time.Minute
 	upkeep     = 250 * time.Millisecond
 
@@ -106,9 +112,10 @@
 	n := &Node{
 		opt: o, id: newID(), log: logger, start: time.Now(),
 		traces: newLast[Trace](keptTraces), events: newLast[Event](keptEvents),
-		burn: burn.NewBook(), stop: make(chan struct{}),
+		burn: burn.NewBook(), retired: map[string]bool{}, stop: make(chan struct{}),
 		dial: control.DialTCP, mayDatagram: func(string) bool { return true },
 	}
+	n.seeds.Store(&o.Bootstrap)
 	n.gate = newGate(n.clock)
 	n.peers.dial = func(addr string, timeout time.Duration) (net.Conn, error) { return n.dial(addr, timeout) }
 	n.conf.Store(emptyConfig())
@@ -130,6 +137,11 @@
 // ID returns the process's identity, new at each start.
 func (n *Node) ID() string { return n.id }
 
+// SetBootstrap replaces the control addresses of some nodes.
+func (n *Node) SetBootstrap(addrs []string) { n.seeds.Store(&addrs) }
+
+func (n *Node) bootstrap() []string { return *n.seeds.Load() }
+
 // clock is the time since the start of the process, monotonic.
 func (n *Node) clock() time.Duration { return time.Since(n.start) }
 
@@ -142,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	n.wireSrv = wire.NewServer(n.serveExchange, wire.ServerOptions{Heartbeat: heartbeat, Sweep: sweep, IdleTimeout: idleMax})
+	n.wireSrv = wire.NewServer(n.serveExchange, wire.ServerOptions{Heartbeat: n.opt.Heartbeat.Duration, Sweep: n.opt.Sweep.Duration, IdleTimeout: idleMax})
 	n.adminSrv = &http.Server{Handler: n.adminRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	n.httpSrv = &http.Server{Handler: n.callerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleMax}
 	n.control = newControlServer(n)
@@ -152,6 +164,9 @@
 	n.duty("upkeep", n.upkeepLoop)
 	n.duty("refresh", n.refreshLoop)
 	n.replicas.start()
+	if n.opt.Found {
+		n.duty("found", n.found)
+	}
 	n.serve("admin", func() error { return n.adminSrv.Serve(lns.admin) })
 	n.awaitConfig()
 	n.life.happen(nodeChart, configured)
@@ -268,12 +283,13 @@
 	if !n.life.happen(nodeChart, stopEvent) {
 		return true
 	}
+	n.stopAt.Store(int64(n.clock()))
 	n.info("node", "Leaving.")
 	n.gossip.leave()
 	deadline := time.Now().Add(n.opt.StopTimeout.Duration)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	time.Sleep(min(drainNotice, n.opt.StopTimeout.Duration/2))
+	time.Sleep(min(max(drainNotice, n.opt.StopNotice.Duration), n.opt.StopTimeout.Duration*3/4))
 	done := n.awaitIdle(deadline)
 	if done {
 		n.life.happen(nodeChart, idle)
@@ -340,6 +356,7 @@
 // objective of its kind if it entered here.
 func (n *Node) record(c *call, code fault.Code, run fault.Run) {
 	took := time.Since(c.started)
+	n.latencies.observe(c, code, took)
 	if c.depth == 0 {
 		n.burn.Add(c.root, time.Now(), code == fault.None && took <= c.policy.ObjectiveWithin, code)
 	}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -50,8 +50,28 @@
 	// StartWait is how long a starting node waits for the configuration of
 	// its domain before it serves with what it has.
 	StartWait Duration `toml:"start_wait"`
+	// StopNotice is how long a stopping node still takes requests of callers,
+	// who hear late that it stops.
+	StopNotice Duration `toml:"stop_notice"`
+	// Found makes this node form the replica groups by itself when it is the
+	// first of Bootstrap and its data folder is new. It must be set on the
+	// first start of a whole fleet only: a replica that lost its disk must
+	// not form a second group.
+	Found bool `toml:"found"`
+	// MinVoters is how many replicas with a vote a group must have before it
+	// takes commands.
+	MinVoters int `toml:"min_voters"`
+	// Sweep is how often requests in work are looked at for a sender that left.
+	Sweep Duration `toml:"sweep"`
+	// Heartbeat is how often a request in work is confirmed to the node that
+	// sent it.
+	Heartbeat Duration `toml:"heartbeat"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `toml:"log_level"`
+
+	// Edge speaks to callers and backend servers in place of the project's
+	// own interface; nil for none.
+	Edge Edge `toml:"-"`
 }
 
 // Duration is a time.Duration written as "1.5s" in TOML.
@@ -77,6 +97,9 @@
 		StopTimeout:  Duration{30 * time.Second},
 		Lease:        Duration{3 * time.Second},
 		StartWait:    Duration{5 * time.Second},
+		MinVoters:    1,
+		Sweep:        Duration{20 * time.Millisecond},
+		Heartbeat:    Duration{200 * time.Millisecond},
 		LogLevel:     "info",
 	}
 }
@@ -134,14 +157,20 @@
 	if o.Replicas < 1 || o.Replicas > 9 {
 		return fault.Newf(fault.InvalidSetting, "replicas = %d; allowed is 1 to 9", o.Replicas)
 	}
-	if o.Shards < 1 || o.Shards > 64 {
-		return fault.Newf(fault.InvalidSetting, "shards = %d; allowed is 1 to 64", o.Shards)
+	if o.Shards < 0 || o.Shards > 64 {
+		return fault.Newf(fault.InvalidSetting, "shards = %d; allowed is 0 (no idempotency keys) to 64", o.Shards)
+	}
+	if o.MinVoters < 1 || o.MinVoters > o.Replicas {
+		return fault.Newf(fault.InvalidSetting, "min_voters = %d; allowed is 1 to replicas", o.MinVoters)
 	}
 	return o.checkDurations()
 }
 
 func (o *Options) checkDurations() error {
 	const lo, hi = 100 * time.Millisecond, time.Hour
+	if o.Sweep.Duration < time.Millisecond || o.Heartbeat.Duration < time.Millisecond || o.StopNotice.Duration < 0 {
+		return fault.New(fault.InvalidSetting, "sweep and heartbeat must be at least 1ms, and stop_notice at least 0s")
+	}
 	for key, d := range map[string]Duration{
 		"replace_after": o.ReplaceAfter, "stop_timeout": o.StopTimeout, "lease": o.Lease, "start_wait": o.StartWait,
 	} {
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -46,7 +46,7 @@
 			switch reply.Code {
 			case fault.NotLeader:
 			case fault.NoQuorum:
-				maybe = true
+				maybe = maybe || reply.Run != fault.RunNo
 			default:
 				return nil, fault.New(reply.Code, reply.Detail)
 			}
@@ -91,7 +91,11 @@
 			time.Sleep(submitPause)
 		}
 		for _, addr := range n.replicaAddrs(hint) {
-			req := &control.ReadRequest{WaitMs: submitTry.Milliseconds()}
+			if !time.Now().Before(deadline) {
+				break
+			}
+			have := n.conf.Load()
+			req := &control.ReadRequest{WaitMs: submitTry.Milliseconds(), Have: have.version}
 			reply := &control.ReadReply{}
 			var err error
 			if addr == n.opt.AdvertiseControl {
@@ -100,6 +104,9 @@
 				err = n.control.pool.Call(addr, "Read", req, reply, submitTry+submitPause)
 			}
 			if err == nil && reply.Code == fault.None {
+				if reply.Version == have.version {
+					reply.Entries = have.raw
+				}
 				return reply, nil
 			}
 			if err == nil && reply.Leader != "" {
--- a/settings/key.go
+++ b/settings/key.go
@@ -46,6 +46,14 @@
 	Objective       float64
 	ObjectiveWithin time.Duration
 	Like            string
+	// Host and PathPrefix select the requests of a kind by their address, and
+	// Weight divides them among the kinds that name the same ones.
+	Host       string
+	PathPrefix string
+	Weight     int
+	// HealthPath and Connections describe the backend servers of a service.
+	HealthPath  string
+	Connections int
 }
 
 // Depth is a level of the tree, as the number of parts of a scope.
@@ -112,6 +120,24 @@
 	return Key{name, def, "a share from 0 to 1", lowest, doc, set}
 }
 
+// textKey is a key whose value is any text of at most maxText bytes.
+func textKey(name, allowed string, lowest Depth, doc string, field func(*Policy) *string) Key {
+	set := func(p *Policy, s string) bool {
+		if len(s) > maxText {
+			return false
+		}
+		if field != nil {
+			*field(p) = s
+		}
+		return true
+	}
+	return Key{name, "", allowed, lowest, doc, set}
+}
+
+// maxText bounds a text value in bytes; a description of one route or service
+// takes well under a tenth of it.
+const maxText = 16 << 10
+
 func boolKey(name, def string, lowest Depth, doc string, field func(*Policy) *bool) Key {
 	set := func(p *Policy, s string) bool {
 		b, err := strconv.ParseBool(s)
@@ -149,6 +175,12 @@
 	durationKey("silence", "1s", 50*time.Millisecond, time.Minute, AtService, "Time without a heartbeat after which a connection counts as silent.", func(p *Policy) *time.Duration { return &p.Silence }),
 	shareKey("objective", "0.99", AtKind, "Share of requests that must end well.", func(p *Policy) *float64 { return &p.Objective }),
 	durationKey("objective_within", "2s", time.Millisecond, 10*time.Minute, AtKind, "Time within which a request must end to count as well.", func(p *Policy) *time.Duration { return &p.ObjectiveWithin }),
+	textKey("host", "a host name", AtKind, "Host by which requests of this kind are recognised; empty if only by name.", func(p *Policy) *string { return &p.Host }),
+	textKey("path_prefix", "a path that begins and ends with a slash", AtKind, "Prefix of the path by which requests of this kind are recognised.", func(p *Policy) *string { return &p.PathPrefix }),
+	intKey("weight", "1", 0, 1<<20, AtKind, "Part of the requests of a host and prefix that this kind gets, where several kinds name the same.", func(p *Policy) *int { return &p.Weight }),
+	textKey("health_path", "a path", AtService, "Path at which a backend server tells its health.", func(p *Policy) *string { return &p.HealthPath }),
+	intKey("connections", "0", 0, 1<<20, AtService, "Connections that a backend server takes; 0 leaves it to its announcement.", func(p *Policy) *int { return &p.Connections }),
+	textKey("source", "any text", AtKind, "Text from which an adapter made the entries of the scope, kept to be read back.", nil),
 	{"like", "", "a scope of the same level, for example \"kigali/sheets/open\"", AtKind, "Scope whose own entries are inherited before those of the level above.", setLike},
 }
 
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -26,6 +26,8 @@
 	policies map[string]*Policy
 	// order holds all scopes, each behind those that it inherits from.
 	order []string
+	// routes finds request kinds by host and path.
+	routes routeTable
 }
 
 // setting is one entry of a scope.
@@ -53,7 +55,11 @@
 		scope, name, _ := strings.Cut(id, "#")
 		t.own[scope] = append(t.own[scope], setting{name, v})
 	}
-	return t, t.resolveAll(nil, nil)
+	if err := t.resolveAll(nil, nil); err != nil {
+		return nil, err
+	}
+	t.routes = t.buildRoutes()
+	return t, nil
 }
 
 // resolveAll resolves the scopes. Those that no touched scope can change are
@@ -293,7 +299,11 @@
 	}
 	nt := &Tree{entries: next, own: maps.Clone(t.own), policies: make(map[string]*Policy, len(t.policies)), order: t.order}
 	nt.regroup(t, p, touched)
-	return nt, nt.resolveAll(t, touched)
+	if err := nt.resolveAll(t, touched); err != nil {
+		return nil, err
+	}
+	nt.routes = nt.buildRoutes()
+	return nt, nil
 }
 
 func scopeOf(id string) string {
