Join the calls of a backend server to the request that they belong to

Cause: on the platform calls carry no token, so each was ranked by its own kind and id; an overloaded service shed single calls of requests already let in, and the levels did not reach the entries. A call's id extends its parent's by a dot; where the backend server beside the node has that parent in hand, the call takes its rank, deadline and retry budget. Ruled out: the remote address (the same for callers and calls) and the deadline (callers leave it out).

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -88,14 +88,12 @@
 	tokens atomic.Int64
 }
 
-// RatioBurst is how many retries may be saved up.
-const RatioBurst = 10
-
-// Earn credits one first attempt at the given share (0..1).
-func (r *Ratio) Earn(share float64) {
+// Earn credits one first attempt at the given share (0..1). At most burst
+// retries are saved up.
+func (r *Ratio) Earn(share float64, burst int) {
 	t := r.tokens.Add(int64(share * milli))
-	if t > RatioBurst*milli {
-		r.tokens.CompareAndSwap(t, RatioBurst*milli)
+	if most := int64(burst) * milli; t > most {
+		r.tokens.CompareAndSwap(t, most)
 	}
 }
 
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -71,12 +71,12 @@
 	var r Ratio
 	retries := 0
 	for range 10_000 {
-		r.Earn(0.05)
+		r.Earn(0.05, burst)
 		if r.Spend() {
 			retries++
 		}
 	}
-	if retries > 500+RatioBurst {
+	if retries > 500+burst {
 		t.Fatalf("%d retries for 10000 first attempts", retries)
 	}
 }
@@ -87,8 +87,11 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		p.Reset(3)
-		r.Earn(0.05)
+		r.Earn(0.05, burst)
 		n := p.Lease()
 		p.Settle(n, 0)
 	}
 }
+
+// burst is how many retries the tests let a ratio save up.
+const burst = 10
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -43,6 +43,10 @@
 	repicks int
 	// mayHaveRun is set if a backend server may have seen an attempt.
 	mayHaveRun bool
+	// callerLeft is set when the caller closed its connection. A call can also
+	// be canceled because the request that it belongs to has ended; its
+	// sender is then still there and gets an answer.
+	callerLeft atomic.Bool
 	started    time.Time
 }
 
@@ -60,6 +64,8 @@
 	scope *scope.Scope
 	// finished counts the calls that it has made.
 	finished atomic.Uint32
+	// failedBelow is set once a call that it made was refused or failed.
+	failedBelow atomic.Bool
 }
 
 // depth is the work behind a call that is made for it now.
--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -32,6 +32,10 @@
 type Arrival struct {
 	// ID is the request's id.
 	ID string
+	// Parent is the id of the request that this one may be a call of, "" for
+	// none. It is believed only if the backend server beside the node has that
+	// request in hand.
+	Parent string
 	// Remaining is how long the caller waits; 0 if it does not say.
 	Remaining time.Duration
 }
@@ -79,21 +83,38 @@
 	target := found.Draw()
 	c.target, c.root, c.policy = target.Scope, target.Scope, target.Policy
 	c.service = serviceOf(c.target)
-	if n.stopping() && n.clock() > n.entryUntil() {
-		return c, c.refusal(fault.Draining, "this node is stopping", 0)
-	}
 	allowed := c.policy.Deadline
 	if arrival.Remaining > 0 {
 		allowed = min(allowed, arrival.Remaining)
 	}
+	c.header = append(endToEnd(r.Header), wireField{Name: hostField, Value: r.Host})
+	if w := n.workOf(arrival.Parent); w != nil {
+		c.join(w, allowed)
+		return c, nil
+	}
+	if n.stopping() && n.clock() > n.entryUntil() {
+		return c, c.refusal(fault.Draining, "this node is stopping", 0)
+	}
 	c.rank = rank.Of(c.policy.Class, c.id)
 	c.scope = scope.New(c.started.Add(allowed))
 	c.pool = &budget.Pool{}
 	c.pool.Reset(c.policy.RetryBudget)
-	c.header = append(endToEnd(r.Header), wireField{Name: hostField, Value: r.Host})
 	return c, nil
 }
 
+// workOf returns the request with an id that the backend server beside this
+// node has in hand, or nil.
+func (n *Node) workOf(id string) *work {
+	if id == "" {
+		return nil
+	}
+	v, ok := n.works.Load(id)
+	if !ok {
+		return nil
+	}
+	return v.(*work)
+}
+
 // entryUntil is until when a stopping node still takes requests of callers
 // that have not heard of it.
 func (n *Node) entryUntil() time.Duration {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -31,7 +31,10 @@
 		n.writeRefusal(w, r, c, ferr)
 		return
 	}
-	stop := context.AfterFunc(r.Context(), func() { c.scope.Cancel(fault.Canceled) })
+	stop := context.AfterFunc(r.Context(), func() {
+		c.callerLeft.Store(true)
+		c.scope.Cancel(fault.Canceled)
+	})
 	defer stop()
 	defer c.scope.Close()
 	n.stats.inflight.Add(1)
@@ -137,15 +140,20 @@
 		return fault.New(fault.Canceled, "the request that this call belongs to has ended")
 	}
 	w := v.(*work)
-	c.parent = w
+	c.id = w.call.id
+	c.join(w, c.policy.Deadline)
+	return nil
+}
+
+// join makes the call part of a request in hand.
+func (c *call) join(w *work, allowed time.Duration) {
 	parent := w.call
-	c.id = parent.id
+	c.parent = w
 	c.root = parent.root
 	c.rank = parent.rank
 	c.depth = w.depth()
-	c.scope = w.scope.Child(c.started.Add(c.policy.Deadline))
+	c.scope = w.scope.Child(c.started.Add(allowed))
 	c.pool = parent.pool
-	return nil
 }
 
 // readBody keeps a small body in memory so that it can be sent again; a large
@@ -198,9 +206,12 @@
 }
 
 func (n *Node) refuse(w http.ResponseWriter, c *call, e *fault.Error) {
+	if c.parent != nil {
+		c.parent.failedBelow.Store(true)
+	}
 	n.stats.refused(e.Code)
 	n.record(c, e.Code, e.Run)
-	if e.Code == fault.Canceled {
+	if c.callerLeft.Load() {
 		// Nobody is there to read an answer.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/umberthread/umberthread/admission"
@@ -43,17 +44,17 @@
 	}
 	n.stats.calls.Add(1)
 	ratio := n.ratio(c.service)
-	ratio.Earn(c.policy.RetryRatio)
+	ratio.Earn(c.policy.RetryRatio, c.policy.RetryBurst)
 	var avoid *route.Instance
 	for {
 		a, in, ferr := n.attempt(c, avoid)
 		c.mayHaveRun = c.mayHaveRun || ferr == nil || ferr.Run != fault.RunNo
 		if ferr == nil && !n.badAnswer(c, a) {
-			return n.answered(a)
+			return n.answered(c, a)
 		}
 		if !n.mayRetry(c, in, ferr, ratio) {
 			if ferr == nil {
-				return n.answered(a)
+				return n.answered(c, a)
 			}
 			if c.mayHaveRun {
 				// An earlier attempt may have run, whatever the last one says.
@@ -75,10 +76,18 @@
 // answered passes a backend server's answer on. If the answer is the refusal of
 // a call below, it becomes this call's own: the refusal is true of the call
 // below only, for this backend server did run.
-func (n *Node) answered(a *answer) (*answer, *fault.Error) {
+func (n *Node) answered(c *call, a *answer) (*answer, *fault.Error) {
 	if fieldValue(a.header, HeaderRun) == "" {
 		return a, nil
 	}
+	if n.opt.Edge != nil {
+		// The platform's callers get the backend server's own answer.
+		if c.parent != nil {
+			c.parent.failedBelow.Store(true)
+		}
+		a.header = slices.DeleteFunc(a.header, func(f wireField) bool { return f.Name == HeaderRun })
+		return a, nil
+	}
 	defer a.close()
 	var p Problem
 	code := fault.Overload
@@ -138,6 +147,9 @@
 	if c.policy.Mode != admission.ModeFull {
 		return c.attempts <= baselineRetries
 	}
+	if c.policy.AttemptsMax > 0 && c.attempts-c.repicks >= c.policy.AttemptsMax {
+		return false
+	}
 	if e != nil {
 		if e.Run != fault.RunNo && !c.policy.Idempotent {
 			return false
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -64,7 +64,7 @@
 		p.happen(requestExpire)
 		return nil, &fault.Error{Code: code, Run: p.run(), Detail: "given up before it was run"}
 	}
-	w := &work{token: n.newToken(), call: c, scope: c.scope.Child(c.scope.Deadline())}
+	w := &work{token: n.tokenFor(c), call: c, scope: c.scope.Child(c.scope.Deadline())}
 	n.works.Store(w.token, w)
 	started := time.Now()
 	p.happen(requestSend)
@@ -104,6 +104,9 @@
 		a.length = 0
 	}
 	a.header = keepRun(a.header, resp.Header)
+	if n.opt.Edge != nil && resp.StatusCode >= http.StatusInternalServerError && w.failedBelow.Load() {
+		a.header = append(a.header, wireField{Name: HeaderRun, Value: fault.RunUnknown.String()})
+	}
 	a.close = func() {
 		resp.Close()
 		n.endWork(w)
@@ -118,6 +121,15 @@
 	return a, nil
 }
 
+// tokenFor returns what the calls made for a request are recognised by: its id
+// where the edge tells parents by their ids, else a token of its own.
+func (n *Node) tokenFor(c *call) string {
+	if n.opt.Edge != nil {
+		return c.id
+	}
+	return n.newToken()
+}
+
 // exchange is one request to the backend server and what its answer says.
 type exchange struct {
 	n      *Node
--- a/settings/key.go
+++ b/settings/key.go
@@ -22,14 +22,19 @@
 
 // Policy is the effective settings of one request kind.
 type Policy struct {
-	Mode            admission.Mode
-	Class           rank.Class
-	Deadline        time.Duration
-	Idempotent      bool
-	KeyRequired     bool
-	KeyRetention    time.Duration
-	RetryBudget     int
-	RetryRatio      float64
+	Mode         admission.Mode
+	Class        rank.Class
+	Deadline     time.Duration
+	Idempotent   bool
+	KeyRequired  bool
+	KeyRetention time.Duration
+	RetryBudget  int
+	RetryRatio   float64
+	// RetryBurst is how many retries to a service one node may save up, and
+	// AttemptsMax how many backend servers one call may be sent to, 0 for as
+	// many as its budget pays.
+	RetryBurst      int
+	AttemptsMax     int
 	QueueMax        int
 	QueueWait       time.Duration
 	QueueTarget     time.Duration
@@ -160,6 +165,8 @@
 	durationKey("key_retention", "24h", time.Minute, 30*24*time.Hour, AtKind, "How long an Idempotency-Key and its outcome are kept.", func(p *Policy) *time.Duration { return &p.KeyRetention }),
 	intKey("retry_budget", "3", 0, 16, AtKind, "Retries that one request may cause over its whole tree of calls.", func(p *Policy) *int { return &p.RetryBudget }),
 	shareKey("retry_ratio", "0.05", AtService, "Share of first attempts to a service that may be added as retries.", func(p *Policy) *float64 { return &p.RetryRatio }),
+	intKey("retry_burst", "10", 0, 1000, AtService, "Retries to a service that one node may save up.", func(p *Policy) *int { return &p.RetryBurst }),
+	intKey("attempts_max", "0", 0, 16, AtKind, "Backend servers that one call may be sent to; 0 leaves it to the retry budget.", func(p *Policy) *int { return &p.AttemptsMax }),
 	intKey("queue_max", "32", 0, 4096, AtService, "Requests that may wait beside one backend server.", func(p *Policy) *int { return &p.QueueMax }),
 	durationKey("queue_wait", "1s", time.Millisecond, 10*time.Second, AtService, "Longest wait in the queue; at most four mean service times are used of it.", func(p *Policy) *time.Duration { return &p.QueueWait }),
 	durationKey("queue_target", "3ms", 100*time.Microsecond, time.Second, AtService, "Least mean wait above which the admission level rises; three quarters of the mean service time where that is longer.", func(p *Policy) *time.Duration { return &p.QueueTarget }),
