Tell faults of a backend server from overload, and avoid the ones that fail

Cause: a server that turns away 55 in 100 requests whatever its load made the guard lower its limit to one slot, and what it still took was refused unsent. The picker saw only failures in a row. Now a rejection counts as overload only with half the declared slots taken; a share of failures adds to an instance's seeming load, fading within seconds; instances three times slower are compared by load times latency; two different instances are drawn.

--- a/admission/guard.go
+++ b/admission/guard.go
@@ -230,7 +230,7 @@
 	g.inflight--
 	g.ctl.done()
 	g.learn(o)
-	if o.Pushback {
+	if o.Pushback && float64(g.inflight+1) >= pushbackFrom*float64(g.opt.Slots) {
 		g.ctl.pushback = true
 	}
 	g.Tick(now)
@@ -337,6 +337,12 @@
 	g.ctl.close(now, g.opt.Window, g.target(), g.maxWait())
 }
 
+// pushbackFrom is the share of the declared slots that must be taken for a
+// rejection to speak of overload. A server that turns requests away with most
+// of its slots free has another fault, which a lower limit does not mend: it
+// would only turn away what the server still takes.
+const pushbackFrom = 0.5
+
 // limitDecrease is the factor by which the limit falls in a window in which
 // the backend server pushed back.
 const limitDecrease = 0.9
--- a/confstore/store.go
+++ b/confstore/store.go
@@ -65,7 +65,7 @@
 	Version uint64
 	// Revision is the operators' own number of the document, 0 for none.
 	Revision uint64
-	Entries settings.Entries
+	Entries  settings.Entries
 	// Results are the last results, oldest first.
 	Results []Result
 	// Changes are the last accepted changes, oldest first.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -127,9 +127,9 @@
 	Version uint64
 	// Revision is the operators' own number of the document.
 	Revision uint64
-	Entries settings.Entries
-	Code    fault.Code
-	Leader  string
+	Entries  settings.Entries
+	Code     fault.Code
+	Leader   string
 }
 
 // IdentityReply tells what replica stands at an address.
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -241,6 +241,7 @@
 	load := n.gate.load()
 	r := route.Report{HasLoad: true, Level: load.level, InFlight: uint16(load.inflight), Limit: uint16(load.limit)}
 	r.Failed = instanceFailed(a, e)
+	r.Rejected = e != nil && e.Code == fault.Rejected
 	return r
 }
 
@@ -288,7 +289,7 @@
 		a = nil
 	}
 	in.Seen.End(n.clock(), route.Report{
-		Failed: instanceFailed(a, ferr), Draining: r.Code == fault.Draining,
+		Failed: instanceFailed(a, ferr), Rejected: r.Code == fault.Rejected, Draining: r.Code == fault.Draining,
 		HasLoad: true, Level: r.Level, InFlight: r.InFlight, Limit: r.Limit, Took: n.clock() - now,
 	}, n.eject(c))
 	return a, ferr
--- a/route/instance.go
+++ b/route/instance.go
@@ -41,6 +41,8 @@
 	probing    atomic.Bool
 	latency    atomic.Uint64 // float64 bits of a moving mean, in seconds
 	draining   atomic.Bool
+	failing    atomic.Uint64 // float64 bits of the share of failed attempts
+	failingAt  atomic.Int64
 }
 
 // Begin counts a request sent to the instance. The first one to an ejected
@@ -63,6 +65,8 @@
 type Report struct {
 	// Failed is set if the instance, not the request, was at fault.
 	Failed bool
+	// Rejected is set if the backend server itself turned the request away.
+	Rejected bool
 	// Draining is set if the instance refused because it is leaving.
 	Draining bool
 	// HasLoad is set if Level, InFlight and Limit came with the answer.
@@ -75,13 +79,16 @@
 	Took time.Duration
 }
 
-// latencyKeep is the share of the old mean that a new sample leaves.
-const latencyKeep = 0.9
+// latencyKeep is the share of the old mean that a new sample leaves. The kinds
+// of one service differ in time up to twenty times, so that fewer samples
+// would show the mix and not the instance.
+const latencyKeep = 0.97
 
 // End takes in the outcome of a request begun with Begin.
 func (o *Observed) End(now time.Duration, r Report, e EjectOptions) {
 	o.inflight.Add(-1)
 	o.probing.Store(false)
+	o.observeFailure(now, r)
 	if r.HasLoad {
 		o.remoteLoad.Store(uint32(r.InFlight)<<16 | uint32(r.Limit))
 		o.level.Store(uint32(r.Level))
@@ -107,6 +114,64 @@
 	}
 }
 
+const (
+	// failingKeep is the share of the old share of failures that an attempt
+	// leaves: a server that fails half of its requests shows after five.
+	failingKeep = 0.85
+	// failingLife is the time in which the share fades to a third, so that an
+	// instance that is avoided is tried again.
+	failingLife = 3 * time.Second
+	// failingFrom is the share from which an instance is avoided. Sound
+	// servers fail well under one request in twenty.
+	failingFrom = 0.12
+	// failingLoad is the load that an instance that always fails seems to
+	// have beside its own: more than another at full load.
+	failingLoad = 3
+)
+
+// observeFailure keeps the share of attempts that failed at the instance,
+// whatever its load. A server that turns away or fails some of its requests
+// cannot be told by failures in a row.
+func (o *Observed) observeFailure(now time.Duration, r Report) {
+	x := 0.0
+	if r.Failed || r.Rejected {
+		x = 1
+	} else if o.Ejected() {
+		// A probe went well: the ejected instance starts afresh.
+		o.failing.Store(0)
+		return
+	}
+	share := o.failingShare(now)
+	if x == 0 && share == 0 {
+		return
+	}
+	// A lost race drops one attempt of many.
+	o.failing.Store(math.Float64bits(share*failingKeep + x*(1-failingKeep)))
+	o.failingAt.Store(int64(now))
+}
+
+func (o *Observed) failingShare(now time.Duration) float64 {
+	share := math.Float64frombits(o.failing.Load())
+	if share == 0 {
+		return 0
+	}
+	age := now - time.Duration(o.failingAt.Load())
+	return share * math.Exp(-age.Seconds()/failingLife.Seconds())
+}
+
+// penalty is the load that the instance's failures stand for.
+// While it is ejected, probing decides alone.
+func (o *Observed) penalty(now time.Duration) float64 {
+	if o.Ejected() {
+		return 0
+	}
+	share := o.failingShare(now)
+	if share < failingFrom {
+		return 0
+	}
+	return failingLoad * share
+}
+
 // EjectOptions say when an instance is ejected.
 type EjectOptions struct {
 	// Failures in a row that eject.
@@ -168,9 +233,12 @@
 		limit = float64(max(i.Slots, 1))
 	}
 	own := float64(i.Seen.inflight.Load())
-	return (max(own, reported) + own/limit) / (limit * i.Weight * i.rampFactor(now, ramp))
+	return (max(own, reported)+own/limit)/(limit*i.Weight*i.rampFactor(now, ramp)) + i.Seen.penalty(now)
 }
 
+// latency is the mean time of the instance's answers, 0 while unknown.
+func (i *Instance) latency() float64 { return math.Float64frombits(i.Seen.latency.Load()) }
+
 // rampStart is the share with which a new instance begins.
 const rampStart = 0.1
 
--- a/route/picker.go
+++ b/route/picker.go
@@ -66,7 +66,7 @@
 		return nil, fault.NoBackend
 	}
 	first, second := svc.Own, svc.other(q, r)
-	if len(first) == 0 || len(second) > 0 && q.spills(first, r) {
+	if len(first) == 0 || len(second) > 0 && q.spills(first, second, r) {
 		first, second = second, first
 	}
 	in, code := q.choose(first, r)
@@ -129,8 +129,11 @@
 
 // spills draws whether a request leaves the own domain: never below SpillAt,
 // then with a probability that rises linearly to one at full utilisation.
-func (q *Query) spills(own []*Instance, r Rand) bool {
+func (q *Query) spills(own, others []*Instance, r Rand) bool {
 	u := q.utilisation(own)
+	if slow := slowdown(own, others); slow > slowFrom && r.Float64() < 1-1/slow {
+		return true
+	}
 	at := q.Options.SpillAt
 	if u <= at || at >= 1 {
 		return false
@@ -138,6 +141,50 @@
 	return r.Float64() < (u-at)/(1-at)
 }
 
+// slowFrom is how many times slower than another domain the own one must be
+// for requests to leave it. Workers of one service differ in speed up to three
+// times while all is well.
+const slowFrom = 3
+
+// slowdown is how many times slower the answers of some instances are than
+// those of others; 0 while either is unknown.
+func slowdown(ins, others []*Instance) float64 {
+	a, b := meanLatency(ins), meanLatency(others)
+	if a == 0 || b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+func meanLatency(ins []*Instance) float64 {
+	sum, n := 0.0, 0.0
+	for _, in := range ins[:min(len(ins), sampleMax)] {
+		if l := in.latency(); l > 0 {
+			sum += l
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
+// better tells whether a is the better choice of two: the one with less load,
+// unless it is so much slower that its load is the longer wait.
+func (q *Query) better(a, b *Instance) bool {
+	la, lb := a.load(q.Now, q.Options.Ramp), b.load(q.Now, q.Options.Ramp)
+	ta, tb := a.latency(), b.latency()
+	if ta > slowFrom*tb && tb > 0 || tb > slowFrom*ta && ta > 0 {
+		return (la+leastLoad)*ta < (lb+leastLoad)*tb
+	}
+	return la < lb
+}
+
+// leastLoad stands for the load of the request itself where instances of very
+// different speed are compared.
+const leastLoad = 0.1
+
 // choose takes the less loaded of two random instances that may be used. If
 // the draws find none it looks at all, from a random start.
 func (q *Query) choose(ins []*Instance, r Rand) (*Instance, fault.Code) {
@@ -147,13 +194,17 @@
 	}
 	code := fault.NoBackend
 	var best *Instance
-	for range 2 {
-		in := ins[r.IntN(n)]
+	first := r.IntN(n)
+	for draw := range min(2, n) {
+		in := ins[first]
+		if draw == 1 {
+			in = ins[(first+1+r.IntN(n-1))%n]
+		}
 		if c := q.admits(in, ins); c != fault.None {
 			code = worse(code, c)
 			continue
 		}
-		if best == nil || in.load(q.Now, q.Options.Ramp) < best.load(q.Now, q.Options.Ramp) {
+		if best == nil || q.better(in, best) {
 			best = in
 		}
 	}
