Risk no request on a node that cannot be reached; stop late, start quickly

Causes: (1) each probe of an instance behind a cut cost a request a second, and a cut domain was noticed after six; (2) a stopping node drew its backend server from service at once and came back without it for up to 1.5 s; with one stop a second half of the servers were out; (3) a fleet that starts together met by gossip within up to 8 s, so that the first document was acknowledged 8 s late.

--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -276,6 +276,9 @@
 		if instanceFailed(nil, ferr) {
 			n.noteFailure(in, ferr)
 		}
+		if ferr.Code == fault.PeerSilent || ferr.Code == fault.PeerLost && ferr.Run == fault.RunNo {
+			n.peers.lose(in.Addr, in.Seen)
+		}
 		return nil, ferr
 	}
 	r := &wa.Reply
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -13,23 +13,28 @@
 )
 
 const (
-	gossipTick      = 25 * time.Millisecond
-	gossipPeriod    = 500 * time.Millisecond
-	ackTimeout      = 150 * time.Millisecond
-	suspicion       = 2 * time.Second
-	forgetAfter     = 30 * time.Second
-	indirectProbes  = 3
-	packetBytes     = 1100
-	maxDatagram     = 16 << 10
-	syncPeriod      = 2 * time.Second
-	joinRetry       = 100 * time.Millisecond
+	gossipTick     = 25 * time.Millisecond
+	gossipPeriod   = 500 * time.Millisecond
+	ackTimeout     = 150 * time.Millisecond
+	suspicion      = 2 * time.Second
+	forgetAfter    = 30 * time.Second
+	indirectProbes = 3
+	packetBytes    = 1100
+	maxDatagram    = 16 << 10
+	syncPeriod     = 2 * time.Second
+	joinRetry      = 100 * time.Millisecond
+	// youngFor is how long a process is young: it compares records often and
+	// asks the addresses from the settings every other time, so that a fleet
+	// that starts together has met within two or three seconds.
+	youngFor        = 5 * time.Second
+	youngSyncPeriod = 250 * time.Millisecond
 	bootstrapEvery  = 5
 	nudges          = 3
 	controlTimeout  = 2 * time.Second
 	packetRing      = 1024
 	commandRing     = 256
 	fetchRing       = 64
-	maxFailedInARow = 3
+	maxFailedInARow = 2
 	// foreignEnough is how often nodes of other domains must have answered
 	// before a node takes itself for the first of its own.
 	foreignEnough = 10
@@ -272,6 +277,9 @@
 func (g *gossiper) syncLoop() {
 	for round := 0; ; round++ {
 		wait := syncPeriod
+		if g.young() {
+			wait = youngSyncPeriod
+		}
 		if !g.sync(round) && !g.joined.Load() {
 			wait = joinRetry
 		}
@@ -321,6 +329,8 @@
 	return true
 }
 
+func (g *gossiper) young() bool { return g.n.clock() < youngFor }
+
 // members returns how many other members of the failure domain are known.
 func (g *gossiper) members() int { return len(g.n.view.Load().members) }
 
@@ -335,7 +345,11 @@
 		}
 	}
 	first := append(append([]string(nil), g.n.bootstrap()...), g.seeds...)
-	if len(alive) == 0 || round%bootstrapEvery == 0 {
+	every := bootstrapEvery
+	if g.young() {
+		every = 2
+	}
+	if len(alive) == 0 || round%every == 0 {
 		if addr := pickOther(first, g.n.opt.AdvertiseControl); addr != "" {
 			return addr
 		}
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -24,6 +24,8 @@
 	compactAfter = 4096
 	// repairEvery is how many ticks lie between two looks at the members.
 	repairEvery = 20
+	// growTicks is the same while the group lacks replicas.
+	growTicks = 4
 	// caughtUp is how many entries a learner may lack to get a vote.
 	caughtUp = 16
 )
@@ -107,7 +109,11 @@
 func (g *group) tick() {
 	g.core.Tick()
 	g.ticks++
-	if g.ticks%repairEvery == 0 && g.core.Role() == raft.Leader {
+	every := repairEvery
+	if len(g.core.Conf().Voters) < g.r.n.opt.Replicas {
+		every = growTicks
+	}
+	if g.ticks%every == 0 && g.core.Role() == raft.Leader {
 		g.repair()
 	}
 }
--- a/internal/node/life.go
+++ b/internal/node/life.go
@@ -98,8 +98,18 @@
 	return s == nodeLeaving || s == nodeStopped
 }
 
-// leaving tells whether the backend server gets no new work from this node.
-func (n *Node) leaving() bool { return n.life.get() != nodeServing }
+// leaving tells whether the backend server gets no new work from this node. A
+// node that stops goes on taking it while callers hear of the stop.
+func (n *Node) leaving() bool {
+	switch n.life.get() {
+	case nodeServing:
+		return false
+	case nodeLeaving:
+		return n.withdrawn.Load()
+	default:
+		return true
+	}
+}
 
 // backendState is the member state of a state of the backend chart.
 func backendState(s chart.State) member.State {
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -17,6 +17,9 @@
 	linking = 3
 	// linkPeriod is the time between two exchanges with each other domain.
 	linkPeriod = time.Second
+	// linkTimeout bounds one exchange: many round trips between domains, and
+	// short, as a domain that is cut off must be noticed within seconds.
+	linkTimeout = 600 * time.Millisecond
 )
 
 // links is the state of the exchanges with other failure domains.
@@ -147,7 +150,7 @@
 	req.HaveOf, req.Have = id, l.haveOf(id)
 	req.Known, req.Domains = n.domainsFor(l.knownBy(id))
 	var reply control.ExchangeReply
-	err := n.control.pool.Call(addr, "Exchange", req, &reply, controlTimeout)
+	err := n.control.pool.Call(addr, "Exchange", req, &reply, linkTimeout)
 	if err != nil || reply.Domain != domain {
 		n.linkFailed(domain)
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,8 @@
 	seeds atomic.Pointer[[]string]
 	// stopAt is when the node began to stop, on its clock.
 	stopAt atomic.Int64
+	// withdrawn is set once a stopping node has told others that it leaves.
+	withdrawn atomic.Bool
 	// retired are the identities of backend servers that stood here before,
 	// guarded by localMu.
 	retired map[string]bool
@@ -163,6 +165,7 @@
 	n.duty("links", n.linkLoop)
 	n.duty("upkeep", n.upkeepLoop)
 	n.duty("refresh", n.refreshLoop)
+	n.duty("find", n.findLoop)
 	n.replicas.start()
 	if n.opt.Found {
 		n.duty("found", n.found)
@@ -250,6 +253,14 @@
 	n.every(upkeep, func(time.Time) { n.peers.refresh() })
 }
 
+// findTimeout bounds a ping of a node that could not be reached.
+const findTimeout = 300 * time.Millisecond
+
+// findLoop is the duty that looks for nodes that could not be reached.
+func (n *Node) findLoop() {
+	n.every(upkeep, func(time.Time) { n.peers.find(findTimeout) })
+}
+
 // overload is when the backend server beside the node was last overloaded.
 type overload struct {
 	Began time.Time `json:"began"`
@@ -285,11 +296,14 @@
 	}
 	n.stopAt.Store(int64(n.clock()))
 	n.info("node", "Leaving.")
-	n.gossip.leave()
 	deadline := time.Now().Add(n.opt.StopTimeout.Duration)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	time.Sleep(min(max(drainNotice, n.opt.StopNotice.Duration), n.opt.StopTimeout.Duration*3/4))
+	most := n.opt.StopTimeout.Duration / 2
+	time.Sleep(min(max(0, n.opt.StopNotice.Duration-drainNotice), most))
+	n.withdrawn.Store(true)
+	n.gossip.leave()
+	time.Sleep(min(drainNotice, most))
 	done := n.awaitIdle(deadline)
 	if done {
 		n.life.happen(nodeChart, idle)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -133,21 +134,63 @@
 	return wal.WriteFile(dir, identityName, []byte(r.id))
 }
 
-// verifyEvery is the time between two rounds of asking replicas who they are.
-const verifyEvery = 500 * time.Millisecond
+const (
+	// verifyEvery is the time between two rounds of asking replicas who they
+	// are, and growEvery the same while a group lacks replicas.
+	verifyEvery = 500 * time.Millisecond
+	growEvery   = 100 * time.Millisecond
+)
 
 // verifyLoop is the duty that asks the replicas which others tell of for their
 // identity, while this one leads a group. Gossip is late: it may name the
-// identity that stood at an address before its disk was lost.
+// identity that stood at an address before its disk was lost. A group that
+// lacks replicas asks at the addresses from the settings as well, as a fleet
+// that starts together has not met by gossip yet.
 func (r *replicas) verifyLoop() {
-	r.n.every(verifyEvery, func(time.Time) {
-		if r.leadsAny() {
-			alive := r.ask(r.n.view.Load().replicas)
-			r.alive.Store(&alive)
+	rounds := 0
+	r.n.every(growEvery, func(time.Time) {
+		rounds++
+		grows := r.growing()
+		if !r.leadsAny() || !grows && rounds%int(verifyEvery/growEvery) != 0 {
+			return
 		}
+		told := r.n.view.Load().replicas
+		if grows {
+			told = append(told[:len(told):len(told)], r.atBootstrap(told)...)
+		}
+		alive := r.ask(told)
+		r.alive.Store(&alive)
 	})
 }
 
+// growing tells whether a group that this replica knows lacks replicas.
+func (r *replicas) growing() bool {
+	for _, g := range r.groups {
+		if c := g.conf.Load(); c != nil && len(c.Voters) < r.n.opt.Replicas {
+			return true
+		}
+	}
+	return false
+}
+
+// atBootstrap returns the replicas at the addresses from the settings that are
+// not among those told of.
+func (r *replicas) atBootstrap(told []raft.Peer) []raft.Peer {
+	var out []raft.Peer
+	for _, addr := range r.n.bootstrap() {
+		known := slices.ContainsFunc(told, func(p raft.Peer) bool { return p.Addr == addr })
+		if known || addr == r.n.opt.AdvertiseControl {
+			continue
+		}
+		var reply control.IdentityReply
+		err := r.n.control.pool.Call(addr, "Identity", &control.Empty{}, &reply, growEvery)
+		if err == nil && reply.ID != "" {
+			out = append(out, raft.Peer{ID: reply.ID, Addr: addr, Domain: reply.Domain})
+		}
+	}
+	return out
+}
+
 func (r *replicas) leadsAny() bool {
 	for _, g := range r.groups {
 		if g.leads.Load() {
@@ -183,7 +226,7 @@
 // verified returns the replicas that lately answered under their identity.
 func (r *replicas) verified() []raft.Peer {
 	if p := r.alive.Load(); p != nil {
-		return *p
+		return slices.Clip(*p)
 	}
 	return nil
 }
@@ -315,7 +358,7 @@
 // candidateAddr finds a replica that this one does not yet know as a member:
 // a learner answers its leader before it has the membership.
 func (r *replicas) candidateAddr(id string) string {
-	for _, p := range r.n.view.Load().replicas {
+	for _, p := range append(r.verified(), r.n.view.Load().replicas...) {
 		if p.ID == id {
 			return p.Addr
 		}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -79,6 +79,10 @@
 			out = append(out, p.Addr)
 		}
 	}
+	if len(out) == 0 {
+		// Nobody was told of yet; the settings may name replicas.
+		out = append(out, n.bootstrap()...)
+	}
 	return out
 }
 
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -350,6 +350,18 @@
 	}
 }
 
+// Probe tells whether the peer takes a new connection and answers on it. It
+// blocks; a duty of its own calls it.
+func (c *Client) Probe(timeout time.Duration) bool {
+	raw, err := c.opt.Dialer(c.addr, timeout)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = raw.Close() }()
+	conn := &clientConn{link: newLink(raw)}
+	return conn.ping(timeout)
+}
+
 // refreshed is how many idle connections of a peer are kept alive by pings.
 const refreshed = 2
 
--- a/route/instance.go
+++ b/route/instance.go
@@ -43,8 +43,13 @@
 	draining   atomic.Bool
 	failing    atomic.Uint64 // float64 bits of the share of failed attempts
 	failingAt  atomic.Int64
+	cutOff     atomic.Bool
 }
 
+// CutOff takes in whether the node beside the instance can be reached at all.
+// One that cannot gets no requests, however many others fail.
+func (o *Observed) CutOff(cut bool) { o.cutOff.Store(cut) }
+
 // Begin counts a request sent to the instance. The first one to an ejected
 // instance is its probe.
 func (o *Observed) Begin() {
@@ -192,7 +197,7 @@
 // usable tells whether a request may go to the instance: it is not ejected,
 // or its time is over and no other request probes it.
 func (o *Observed) usable(now time.Duration) bool {
-	if o.draining.Load() {
+	if o.draining.Load() || o.cutOff.Load() {
 		return false
 	}
 	if !o.Ejected() {
--- a/route/picker.go
+++ b/route/picker.go
@@ -115,7 +115,7 @@
 	}
 	sum := 0.0
 	for _, in := range ins[:n] {
-		if in.Seen.draining.Load() || in.Seen.Ejected() {
+		if in.Seen.draining.Load() || in.Seen.cutOff.Load() || in.Seen.Ejected() {
 			sum++
 			continue
 		}
@@ -248,7 +248,7 @@
 // because more than EjectMax of the instances are ejected. If nearly all
 // fail, the fault is rarely theirs, and shutting them out loses what is left.
 func (q *Query) tooManyEjected(in *Instance, all []*Instance) bool {
-	if in.Seen.draining.Load() {
+	if in.Seen.draining.Load() || in.Seen.cutOff.Load() {
 		return false
 	}
 	ejected := 0
