Find each other within a second after all were stopped; spend retries on what is urgent

Now a young process asks several addresses at once with short timeouts, any node names those who asked lately, retries leave half of what is saved up to protected requests, and repeated calls are charged.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -97,11 +97,20 @@
 	}
 }
 
-// Spend pays for one retry; false if the service has no token left.
-func (r *Ratio) Spend() bool {
-	if r.tokens.Add(-milli) >= 0 {
+// Spend pays for one retry if it leaves at least keep of them saved up: what is
+// less urgent leaves some to the more urgent.
+func (r *Ratio) Spend(keep int) bool {
+	if r.tokens.Add(-milli) >= int64(keep)*milli {
 		return true
 	}
 	r.tokens.Add(milli)
 	return false
 }
+
+// Charge pays for a call that is made in any case and counts as a retry, as it
+// belongs to a run that was itself a repeat. The debt is at most burst.
+func (r *Ratio) Charge(burst int) {
+	if t := r.tokens.Add(-milli); t < -int64(burst)*milli {
+		r.tokens.Add(milli)
+	}
+}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -72,7 +72,7 @@
 	retries := 0
 	for range 10_000 {
 		r.Earn(0.05, burst)
-		if r.Spend() {
+		if r.Spend(0) {
 			retries++
 		}
 	}
@@ -81,6 +81,35 @@
 	}
 }
 
+func TestRatioLeavesRetriesToTheMoreUrgent(t *testing.T) {
+	var r Ratio
+	for range 100 {
+		r.Earn(0.5, 2)
+	}
+	if !r.Spend(1) || r.Spend(1) {
+		t.Fatal("a less urgent retry must leave one")
+	}
+	if !r.Spend(0) || r.Spend(0) {
+		t.Fatal("the more urgent retry takes the last one")
+	}
+}
+
+func TestRepeatedCallsAreCharged(t *testing.T) {
+	var r Ratio
+	for range 50 {
+		r.Charge(2)
+	}
+	r.Earn(1, 2)
+	r.Earn(1, 2)
+	if r.Spend(0) {
+		t.Fatal("the debt was not paid")
+	}
+	r.Earn(1, 2)
+	if !r.Spend(0) {
+		t.Fatal("the debt is more than the burst")
+	}
+}
+
 func BenchmarkRequest(b *testing.B) {
 	var p Pool
 	var r Ratio
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,6 +21,8 @@
 
 // SyncRequest compares the records of two nodes of one failure domain.
 type SyncRequest struct {
+	// Addr is the control address of the node that asks.
+	Addr    string
 	Domain  string
 	Digest  gossip.Digest
 	Records []gossip.Record
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -23,6 +23,8 @@
 	service string
 	rank    rank.Rank
 	depth   uint8
+	// repeat is set if the call belongs to a run that was itself a repeat.
+	repeat bool
 	// parent is the work that this call belongs to, nil at the entry.
 	parent *work
 	policy *settings.Policy
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	pool    *control.Pool
 	counter control.Counter
 	links   *links
+	askers  askers
 	rpc     *rpc.Server
 
 	mu    sync.Mutex
@@ -66,6 +68,33 @@
 	s.pool.Close()
 }
 
+// askers remembers who asked lately from other failure domains, so that
+// processes that start together find each other through any node.
+type askers struct {
+	mu     sync.Mutex
+	latest map[string][]string // by failure domain
+}
+
+// askersKept is how many are remembered for each domain.
+const askersKept = 6
+
+// others notes who asks, and returns other nodes of its failure domain: those
+// that are known to link it and those that asked lately.
+func (a *askers) others(domain, self string, known []string) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.latest == nil {
+		a.latest = map[string][]string{}
+	}
+	out := slices.Concat(known, a.latest[domain])
+	if self != "" {
+		kept := slices.DeleteFunc(slices.Clone(a.latest[domain]), func(v string) bool { return v == self })
+		kept = append(kept, self)
+		a.latest[domain] = kept[max(0, len(kept)-askersKept):]
+	}
+	return out
+}
+
 // learnDomain remembers an address in another failure domain.
 func (s *controlServer) learnDomain(domain, addr string) {
 	s.links.mu.Lock()
@@ -84,7 +113,7 @@
 	reply.Domain = n.opt.Domain
 	reply.Config = n.conf.Load().version
 	if req.Domain != n.opt.Domain {
-		reply.Seeds = n.view.Load().domains[req.Domain].control
+		reply.Seeds = n.control.askers.others(req.Domain, req.Addr, n.view.Load().domains[req.Domain].control)
 		return nil
 	}
 	n.gossip.do(func() {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -152,6 +152,7 @@
 	c.root = parent.root
 	c.rank = parent.rank
 	c.depth = w.depth()
+	c.repeat = parent.repeat
 	c.scope = w.scope.Child(c.started.Add(allowed))
 	c.pool = parent.pool
 }
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -44,7 +44,11 @@
 	}
 	n.stats.calls.Add(1)
 	ratio := n.ratio(c.service)
-	ratio.Earn(c.policy.RetryRatio, c.policy.RetryBurst)
+	if c.repeat {
+		ratio.Charge(c.policy.RetryBurst)
+	} else {
+		ratio.Earn(c.policy.RetryRatio, c.policy.RetryBurst)
+	}
 	var avoid *route.Instance
 	for {
 		a, in, ferr := n.attempt(c, avoid)
@@ -165,13 +169,22 @@
 	if !c.pool.Spend() {
 		return false
 	}
-	if !ratio.Spend() {
+	if !ratio.Spend(retriesLeft(c)) {
 		c.pool.Settle(1, 0)
 		return false
 	}
 	return true
 }
 
+// retriesLeft is how many of the retries saved up for a service a call leaves
+// to more urgent ones.
+func retriesLeft(c *call) int {
+	if c.rank.Class() == rank.Protected {
+		return 0
+	}
+	return max(0, c.policy.RetryBurst/2)
+}
+
 // maxRepicks is how often a request is sent to another node at no cost: a
 // leaving instance is heard of late, and rarely two in a row.
 const maxRepicks = 3
@@ -266,6 +279,7 @@
 	req := &wire.Request{
 		Attempt: n.attempts.Add(1), ID: c.id, Root: c.root, Target: c.target,
 		Remaining: c.scope.Remaining(), Rank: c.rank, Depth: c.depth, Lease: uint8(lease),
+		Repeat: c.repeat || c.attempts-c.repicks > 1,
 		Method: c.method, Path: c.path, BodyLen: c.bodyLen, Header: c.header,
 	}
 	wa, err := n.peers.client(in.Addr, c.policy.Silence).Do(c.scope, req, c.body, c.stream)
@@ -303,7 +317,7 @@
 func (n *Node) serveExchange(x *wire.Exchange) {
 	r := &x.Request
 	c := &call{
-		id: r.ID, root: r.Root, target: r.Target, rank: r.Rank, depth: r.Depth, scope: x.Scope,
+		id: r.ID, root: r.Root, target: r.Target, rank: r.Rank, depth: r.Depth, repeat: r.Repeat, scope: x.Scope,
 		method: r.Method, path: r.Path, header: r.Header, bodyLen: r.BodyLen, started: time.Now(),
 	}
 	c.pool = &budget.Pool{}
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,7 +30,8 @@
 	// asks the addresses from the settings every other time, so that a fleet
 	// that starts together has met within two or three seconds.
 	youngFor        = 5 * time.Second
-	youngSyncPeriod = 250 * time.Millisecond
+	youngSyncPeriod = 150 * time.Millisecond
+	youngTimeout    = 300 * time.Millisecond
 	bootstrapEvery  = 5
 	nudges          = 3
 	controlTimeout  = 2 * time.Second
@@ -69,11 +73,14 @@
 
 	joined  atomic.Bool
 	highest atomic.Uint64
-	// seeds are control addresses in this failure domain that nodes of other
-	// domains named, and foreign is how often one of those answered before a
-	// member did; only the sync duty uses them.
+	// mu guards what follows. seeds are control addresses in this failure
+	// domain that nodes of other domains named, foreign is how often one of
+	// those answered before a member did, and home is an address from the
+	// settings that stands in this domain.
+	mu      sync.Mutex
 	seeds   []string
 	foreign int
+	home    string
 }
 
 func newGossiper(n *Node) *gossiper {
@@ -280,7 +287,7 @@
 		if g.young() {
 			wait = youngSyncPeriod
 		}
-		if !g.sync(round) && !g.joined.Load() {
+		if !g.syncRound(round) && !g.joined.Load() {
 			wait = joinRetry
 		}
 		select {
@@ -291,9 +298,45 @@
 	}
 }
 
-// sync compares records with one node; true if that worked.
-func (g *gossiper) sync(round int) bool {
-	addr := g.syncTarget(round)
+// syncRound compares records with one node, or, in a young process, with a few
+// at once, as many addresses from the settings may be down; true if one of
+// them answered so that the node has joined.
+func (g *gossiper) syncRound(round int) bool {
+	if !g.young() {
+		return g.sync(g.syncTarget(round), controlTimeout)
+	}
+	targets := g.youngTargets(round)
+	results := make(chan bool, len(targets))
+	for _, addr := range targets {
+		go func() { results <- g.sync(addr, youngTimeout) }()
+	}
+	joined := false
+	for range targets {
+		joined = <-results || joined
+	}
+	return joined
+}
+
+// youngTargets returns a member, the address from the settings that stands in
+// this failure domain, or all of them while none is known to, and one that
+// another domain named.
+func (g *gossiper) youngTargets(round int) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	self := g.n.opt.AdvertiseControl
+	targets := map[string]bool{g.syncTarget(round): true, pickOther(g.seeds, self): true, g.home: true}
+	if g.home == "" {
+		for _, addr := range g.n.bootstrap() {
+			targets[addr] = true
+		}
+	}
+	delete(targets, "")
+	delete(targets, self)
+	return slices.Collect(maps.Keys(targets))
+}
+
+// sync compares records with the node at addr; true if that worked.
+func (g *gossiper) sync(addr string, timeout time.Duration) bool {
 	if addr == "" {
 		return false
 	}
@@ -301,20 +344,19 @@
 	if !g.do(func() { digest = g.core.Digest() }) {
 		return false
 	}
-	req := &control.SyncRequest{Domain: g.n.opt.Domain, Digest: digest, Config: g.n.conf.Load().version}
+	req := &control.SyncRequest{Addr: g.n.opt.AdvertiseControl, Domain: g.n.opt.Domain, Digest: digest, Config: g.n.conf.Load().version}
 	var reply control.SyncReply
-	if err := g.n.control.pool.Call(addr, "Sync", req, &reply, controlTimeout); err != nil {
+	if err := g.n.control.pool.Call(addr, "Sync", req, &reply, timeout); err != nil {
 		return false
 	}
 	g.heard(addr, reply.Config)
 	if reply.Domain != g.n.opt.Domain {
-		g.n.control.learnDomain(reply.Domain, addr)
-		g.seeds = reply.Seeds
-		g.foreign++
-		if pickOther(g.seeds, g.n.opt.AdvertiseControl) == "" || g.members() > 0 || g.foreign >= foreignEnough {
-			g.joined.Store(true)
-		}
-		return g.joined.Load()
+		return g.metForeign(addr, &reply)
+	}
+	if slices.Contains(g.n.bootstrap(), addr) {
+		g.mu.Lock()
+		g.home = addr
+		g.mu.Unlock()
 	}
 	g.joined.Store(true)
 	var mine []gossip.Record
@@ -324,11 +366,24 @@
 	})
 	if len(mine) > 0 {
 		req.Records = mine
-		_ = g.n.control.pool.Call(addr, "Sync", req, &control.SyncReply{}, controlTimeout)
+		_ = g.n.control.pool.Call(addr, "Sync", req, &control.SyncReply{}, timeout)
 	}
 	return true
 }
 
+// metForeign takes in what a node of another failure domain knows of this one.
+func (g *gossiper) metForeign(addr string, reply *control.SyncReply) bool {
+	g.n.control.learnDomain(reply.Domain, addr)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = reply.Seeds
+	g.foreign++
+	if pickOther(g.seeds, g.n.opt.AdvertiseControl) == "" || g.members() > 0 || g.foreign >= foreignEnough {
+		g.joined.Store(true)
+	}
+	return g.joined.Load()
+}
+
 func (g *gossiper) young() bool { return g.n.clock() < youngFor }
 
 // members returns how many other members of the failure domain are known.
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -17,6 +17,8 @@
 	linking = 3
 	// linkPeriod is the time between two exchanges with each other domain.
 	linkPeriod = time.Second
+	// youngLinkPeriod is the same in a young process.
+	youngLinkPeriod = 250 * time.Millisecond
 	// linkTimeout bounds one exchange: many round trips between domains, and
 	// short, as a domain that is cut off must be noticed within seconds.
 	linkTimeout = 600 * time.Millisecond
@@ -47,14 +49,16 @@
 // linkLoop is the duty of the exchanges. Every node runs it; only those that
 // link the domain at the moment have anything to do.
 func (n *Node) linkLoop() {
-	t := time.NewTicker(linkPeriod)
-	defer t.Stop()
 	for {
+		period := linkPeriod
+		if n.gossip.young() {
+			period = youngLinkPeriod
+		}
 		select {
 		case <-n.stop:
 			return
 		case <-n.gossip.linkNow:
-		case <-t.C:
+		case <-time.After(period):
 		}
 		if ids, addrs := n.linkMembers(); contains(ids, n.id) {
 			n.exchangeAll(addrs)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -33,6 +33,8 @@
 	Depth uint8
 	// Lease is the part of the retry budget given to this call.
 	Lease uint8
+	// Repeat is set if the request belongs to a run that may have run before.
+	Repeat bool
 	// Method and Path are HTTP's; Path includes the query.
 	Method, Path string
 	// BodyLen is the body's length in bytes, or Streamed.
@@ -84,6 +86,13 @@
 	return b
 }
 
+func flag(set bool) byte {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 func (r *Request) append(b []byte) []byte {
 	b = binary.BigEndian.AppendUint64(b, r.Attempt)
 	b = appendString(b, r.ID)
@@ -91,7 +100,7 @@
 	b = appendString(b, r.Target)
 	b = binary.AppendVarint(b, int64(r.Remaining/time.Microsecond))
 	b = binary.BigEndian.AppendUint16(b, uint16(r.Rank))
-	b = append(b, r.Depth, r.Lease)
+	b = append(b, r.Depth, r.Lease, flag(r.Repeat))
 	b = appendString(b, r.Method)
 	b = appendString(b, r.Path)
 	b = binary.AppendVarint(b, r.BodyLen)
@@ -220,11 +229,13 @@
 	r.Rank = rank.Rank(d.uint16())
 	r.Depth = d.byte()
 	r.Lease = d.byte()
+	repeat := d.byte()
+	r.Repeat = repeat == 1
 	r.Method = d.string()
 	r.Path = d.string()
 	r.BodyLen = d.varint()
 	r.Header = d.fields()
-	if r.Rank >= rank.Count || r.BodyLen < Streamed {
+	if r.Rank >= rank.Count || r.BodyLen < Streamed || repeat > 1 {
 		d.bad = true
 	}
 	return d.err()
