Log each request's decision with its inputs, bounded and never blocking; explain an id

Cause: on-call engineers had only traces in memory. Each entry logs one line a request that failed, was refused, was sent again or came late (60 a second and node, the rest counted by reason), a sample of the others, and the node beside a backend server what it did not run. Lines go through a bounded ring to one duty. umberctl explain ID reads the logs of one or many processes.

--- a/cmd/umberctl/main.go
+++ b/cmd/umberctl/main.go
@@ -102,6 +102,11 @@
 	reason := requests.Flag("reason", "Only requests with this reason, such as overload.").String()
 	c.runs[requests.FullCommand()] = func(o ctl.Out) error { return ctl.Requests(o, *c.nodes, *id, *reason) }
 
+	explain := c.app.Command("explain", "Tell the story of a request from the logs of one or many processes.")
+	of := explain.Arg("id", "The request's id.").Required().String()
+	logs := explain.Arg("log", "Log files; - is standard input.").Default("-").Strings()
+	c.runs[explain.FullCommand()] = func(o ctl.Out) error { return ctl.Explain(o.W, *of, *logs) }
+
 	report := c.app.Command("report", "Reports over the fleet.")
 	burnCmd := report.Command("burn", "Service-level burn by request kind, refusals by reason, retries, recovery after overloads.")
 	html := burnCmd.Flag("html", "Also write it as one self-contained HTML page.").String()
--- a/cmd/umberthreadd/main.go
+++ b/cmd/umberthreadd/main.go
@@ -45,7 +45,9 @@
 	if err != nil || checkOnly {
 		return err
 	}
-	n, err := node.New(opt, logging.New(os.Stderr, opt.LogLevel))
+	out := logging.NewAsync(os.Stdout)
+	defer out.Flush()
+	n, err := node.New(opt, logging.New(out, opt.LogLevel))
 	if err != nil {
 		return err
 	}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -147,6 +147,9 @@
 	for _, g := range n.replicas.groups {
 		d["replica_inbox"] += g.inbox.Dropped()
 	}
+	for sort, v := range n.requestLog.skipped() {
+		d["log_"+sort] = v
+	}
 	n.replicas.mu.Lock()
 	defer n.replicas.mu.Unlock()
 	for _, s := range n.replicas.senders {
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -41,6 +41,10 @@
 	bodyLen int64
 
 	attempts int
+	// trail names the failed attempts, and detail is a sentence about the
+	// failure, for the log.
+	trail  strings.Builder
+	detail string
 	// repicks counts the attempts that cost no retry.
 	repicks int
 	// mayHaveRun is set if a backend server may have seen an attempt.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -211,6 +211,7 @@
 		c.parent.failedBelow.Store(true)
 	}
 	n.stats.refused(e.Code)
+	c.detail = e.Detail
 	n.record(c, e.Code, e.Run)
 	if c.callerLeft.Load() {
 		// Nobody is there to read an answer.
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -52,6 +52,9 @@
 	var avoid *route.Instance
 	for {
 		a, in, ferr := n.attempt(c, avoid)
+		if in != nil && (ferr != nil || a.status >= http.StatusInternalServerError) {
+			c.tried(in.Addr, ferr, statusOf(a))
+		}
 		c.mayHaveRun = c.mayHaveRun || ferr == nil || ferr.Run != fault.RunNo
 		if ferr == nil && !n.badAnswer(c, a) {
 			return n.answered(c, a)
@@ -74,6 +77,13 @@
 	}
 }
 
+func statusOf(a *answer) int {
+	if a == nil {
+		return 0
+	}
+	return a.status
+}
+
 // maxProblem bounds the body of a refusal that a backend server passes on.
 const maxProblem = 64 << 10
 
@@ -330,6 +340,7 @@
 	reply.InFlight = uint16(min(load.inflight+load.queued, 1<<16-1))
 	reply.Limit = uint16(min(load.limit, 1<<16-1))
 	if ferr != nil {
+		n.logServed(c, ferr)
 		reply.Code, reply.Run, reply.RetryAfter, reply.Detail = ferr.Code, ferr.Run, ferr.RetryAfter, ferr.Error()
 		_ = x.Reply(reply, nil, nil)
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,10 +75,12 @@
 
 	stats     stats
 	latencies latencies
-	overload  atomic.Pointer[overload]
-	traces    *last[Trace]
-	events    *last[Event]
-	burn      *burn.Book
+	// requestLog bounds the lines about requests.
+	requestLog requestLog
+	overload   atomic.Pointer[overload]
+	traces     *last[Trace]
+	events     *last[Event]
+	burn       *burn.Book
 
 	gossip   *gossiper
 	replicas *replicas
@@ -374,7 +376,9 @@
 	if c.depth == 0 {
 		n.burn.Add(c.root, time.Now(), code == fault.None && took <= c.policy.ObjectiveWithin, code)
 	}
-	if code == fault.None && c.attempts <= 1 && n.stats.served.Add(1)%servedTraceEvery != 0 {
+	sampled := code == fault.None && n.stats.served.Add(1)%servedTraceEvery == 0
+	n.logRequest(c, code, run, took, sampled)
+	if code == fault.None && c.attempts <= 1 && !sampled {
 		return
 	}
 	n.traces.add(Trace{
@@ -416,7 +420,7 @@
 
 // noteFailure tells about an instance that this node could not reach.
 func (n *Node) noteFailure(in *route.Instance, e *fault.Error) {
-	if in.Seen.Ejected() {
+	if in.Seen.JustEjected() {
 		n.event("route", "Ejected "+in.ID+" at "+in.Addr+" after "+e.Code.String()+".")
 	}
 }
--- a/route/instance.go
+++ b/route/instance.go
@@ -44,8 +44,12 @@
 	failing    atomic.Uint64 // float64 bits of the share of failed attempts
 	failingAt  atomic.Int64
 	cutOff     atomic.Bool
+	told       atomic.Bool
 }
 
+// JustEjected tells once that the instance was ejected.
+func (o *Observed) JustEjected() bool { return o.Ejected() && o.told.CompareAndSwap(false, true) }
+
 // CutOff takes in whether the node beside the instance can be reached at all.
 // One that cannot gets no requests, however many others fail.
 func (o *Observed) CutOff(cut bool) { o.cutOff.Store(cut) }
@@ -186,7 +190,11 @@
 }
 
 func (o *Observed) fail(now time.Duration, e EjectOptions) {
-	if int(o.failures.Add(1)) >= e.Failures {
+	failures := int(o.failures.Add(1))
+	if failures == e.Failures {
+		o.told.Store(false)
+	}
+	if failures >= e.Failures {
 		o.ejectedTo.Store(int64(now + e.Time))
 	}
 }
