--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -213,7 +213,7 @@
 	n.stats.refused(e.Code)
 	c.detail = e.Detail
 	n.record(c, e.Code, e.Run)
-	if c.callerLeft.Load() {
+	if e.Code == fault.Canceled && c.callerLeft.Load() {
 		// Nobody is there to read an answer.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -192,9 +192,13 @@
 	if c.rank.Class() == rank.Protected {
 		return 0
 	}
-	return max(0, c.policy.RetryBurst/2)
+	return min(urgentReserve, c.policy.RetryBurst)
 }
 
+// urgentReserve is how many saved-up retries are kept for protected requests:
+// while they need retries they use them all, else one is soon saved up.
+const urgentReserve = 1
+
 // maxRepicks is how often a request is sent to another node at no cost: a
 // leaving instance is heard of late, and rarely two in a row.
 const maxRepicks = 3
@@ -206,7 +210,7 @@
 		return false
 	}
 	switch e.Code {
-	case fault.Draining, fault.Starting, fault.NoBackend, fault.PeerLost:
+	case fault.Draining, fault.Starting, fault.NoBackend, fault.PeerLost, fault.BackendLost:
 		return true
 	default:
 		return false
