--- /dev/null
+++ b/internal/backend/foreign_test.go
@@ -0,0 +1,80 @@
+package backend
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/scope"
+)
+
+// answerTwice is a faulty server that answers each request with the last
+// answer once more before the right one.
+func answerTwice(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				br, last := bufio.NewReader(c), ""
+				for {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					id := req.Header.Get("Id")
+					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+					_, _ = io.WriteString(c, last+answer)
+					last = answer
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestAnswerTooManyIsPassedOver: an answer that belongs to an earlier request
+// arrives where the next one's is due.
+func TestAnswerTooManyIsPassedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := New(answerTwice(t), options())
+	defer c.Close()
+	for i := range 5 {
+		id := fmt.Sprintf("r%d", i)
+		req := request("/x", []byte("in"))
+		req.Header.Set("Id", id)
+		resp, err := c.Do(scope.New(time.Now().Add(2*time.Second)), 1, req, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		b, err := io.ReadAll(resp)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(b)).To(gomega.Equal(id))
+		resp.Close()
+	}
+}
+
+// TestForeignAnswersAreNeverDelivered: nothing but answers of others.
+func TestForeignAnswersAreNeverDelivered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := New(answerTwice(t), options())
+	defer c.Close()
+	req := request("/x", nil)
+	_, err := c.Do(scope.New(time.Now().Add(300*time.Millisecond)), 1, req, func(*http.Response) bool { return false })
+	e := fault.From(err)
+	g.Expect(e.Run).To(gomega.Equal(fault.RunUnknown))
+}
--- /dev/null
+++ b/settings/routes_test.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+const routed = `
+[fleet.f.service.east.kind.split]
+host = "Calls.example"
+path_prefix = "/a/"
+weight = 90
+[fleet.f.service.west.kind.split]
+host = "calls.example"
+path_prefix = "/a/"
+weight = 10
+[fleet.f.service.west.kind.deep]
+host = "calls.example"
+path_prefix = "/a/b/"
+`
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tree, err := ParseTOML([]byte(routed))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for path, want := range map[string]string{"/a/": "/a/", "/a/x/y": "/a/", "/a/b": "/a/", "/a/b/": "/a/b/", "/a/b/c": "/a/b/", "/": "", "": "", "/ab/": ""} {
+		r := tree.Route("CALLS.example:8080", path)
+		if want == "" {
+			g.Expect(r).To(gomega.BeNil(), path)
+			continue
+		}
+		g.Expect(r).NotTo(gomega.BeNil(), path)
+		g.Expect(r.Prefix).To(gomega.Equal(want), path)
+	}
+	g.Expect(tree.Route("other.example", "/a/")).To(gomega.BeNil())
+}
+
+// TestSplitKeepsItsWeightsOverFewRequests: a part is within a hundredth of its
+// weight after 200 requests.
+func TestSplitKeepsItsWeightsOverFewRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tree, err := ParseTOML([]byte(routed))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	r := tree.Route("calls.example", "/a/")
+	west := 0
+	for range 200 {
+		if r.Draw().Scope == "f/west/split" {
+			west++
+		}
+	}
+	g.Expect(west).To(gomega.BeNumerically("~", 20, 2))
+}
+
+// TestChangeOfAServiceReachesItsRoutes: a route's policy is never that of an
+// earlier version.
+func TestChangeOfAServiceReachesItsRoutes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tree, err := ParseTOML([]byte(routed))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	next, err := tree.Apply(Patch{Set: Entries{"f/west#deadline": "7s"}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(next.Route("calls.example", "/a/b/").Targets[0].Policy.Deadline.Seconds()).To(gomega.Equal(7.0))
+}
