Tell the level and the admission level apart in logs; keep to a server's Keep-Alive

An idle connection to a backend server is trusted for four fifths of the time that the server names: it closes idle ones after 10 s, ours were trusted for 30 s, and a confirmation that crosses the close is lost.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -12,6 +12,8 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +55,9 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	lastUse time.Time
+	// keep is how long the server said that it keeps the connection idle, less
+	// a margin; 0 if it did not say.
+	keep time.Duration
 }
 
 // New returns a client of the backend server at addr.
@@ -91,6 +96,7 @@
 	whole := r.eof || r.ContentLength == 0
 	if whole && !r.Response.Close && r.s.Err() == fault.None {
 		_ = r.conn.SetDeadline(time.Time{})
+		r.conn.keep = keepAlive(r.Header.Get("Keep-Alive"))
 		r.c.put(r.conn)
 	} else {
 		r.c.discard(r.conn)
@@ -238,13 +244,37 @@
 		if dial {
 			return c.dial(s)
 		}
-		if now.Sub(cn.lastUse) < c.opt.IdleMax && cn.br.Buffered() == 0 && sock.Quiet(cn.Conn) {
+		if now.Sub(cn.lastUse) < cn.trusted(c.opt.IdleMax) && cn.br.Buffered() == 0 && sock.Quiet(cn.Conn) {
 			return cn, nil
 		}
 		c.discard(cn)
 	}
 }
 
+// keepShare is the part of the time that the server named for which an idle
+// connection is trusted: a request must not cross the server's close.
+const keepShare = 0.8
+
+// keepAlive reads the time-out of a Keep-Alive field, in whole seconds.
+func keepAlive(field string) time.Duration {
+	for part := range strings.SplitSeq(field, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds > 0 {
+			return time.Duration(keepShare * float64(seconds) * float64(time.Second))
+		}
+	}
+	return 0
+}
+
+// trusted is how long the connection may have been idle to be used again.
+func (cn *conn) trusted(most time.Duration) time.Duration {
+	if cn.keep > 0 {
+		return min(most, cn.keep)
+	}
+	return most
+}
+
 func (c *Client) pop() (cn *conn, dial bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/backend/foreign_test.go
+++ b/internal/backend/foreign_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -78,3 +79,45 @@
 	e := fault.From(err)
 	g.Expect(e.Run).To(gomega.Equal(fault.RunUnknown))
 }
+
+func TestKeepAliveBoundsTheTrustInAnIdleConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for field, want := range map[string]time.Duration{
+		"timeout=10": 8 * time.Second, "max=5, timeout=5": 4 * time.Second, "Timeout=1": 800 * time.Millisecond,
+		"": 0, "timeout=": 0, "timeout=-3": 0, "timeout=soon": 0,
+	} {
+		g.Expect(keepAlive(field)).To(gomega.Equal(want), field)
+	}
+	cn := &conn{keep: 2 * time.Second}
+	g.Expect(cn.trusted(time.Second)).To(gomega.Equal(time.Second))
+	g.Expect(cn.trusted(time.Minute)).To(gomega.Equal(2 * time.Second))
+	g.Expect((&conn{}).trusted(time.Minute)).To(gomega.Equal(time.Minute))
+}
+
+// TestConnectionPastItsKeepAliveIsNotUsedAgain: a server that names a second is
+// asked again after it on a new connection.
+func TestConnectionPastItsKeepAliveIsNotUsedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var mu sync.Mutex
+	remotes := map[string]bool{}
+	direct, _, _ := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		remotes[r.RemoteAddr] = true
+		mu.Unlock()
+		w.Header().Set("Keep-Alive", "timeout=1")
+	})
+	c := New(direct, options())
+	defer c.Close()
+	for range 2 {
+		_, err := get(c, "/x", time.Second)
+		g.Expect(err).To(gomega.BeNil())
+	}
+	c.mu.Lock()
+	c.idle[0].lastUse = time.Now().Add(-900 * time.Millisecond)
+	c.mu.Unlock()
+	_, err := get(c, "/x", time.Second)
+	g.Expect(err).To(gomega.BeNil())
+	mu.Lock()
+	defer mu.Unlock()
+	g.Expect(remotes).To(gomega.HaveLen(2))
+}
--- a/internal/node/reqlog.go
+++ b/internal/node/reqlog.go
@@ -115,6 +115,6 @@
 	}
 	load := n.gate.load()
 	n.info("serve", "Not run, or not to an end.", "id", c.id, "kind", c.target, "reason", e.Code.String(), "run", e.Run.String(),
-		"in_flight", load.inflight, "queued", load.queued, "limit", load.limit, "level", uint16(load.level), "rank", uint16(c.rank),
+		"in_flight", load.inflight, "queued", load.queued, "limit", load.limit, "admission_level", uint16(load.level), "rank", uint16(c.rank),
 		"remaining_ms", c.scope.Remaining().Milliseconds(), "detail", strings.TrimSpace(e.Detail))
 }
