--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,8 @@
 .PHONY: all build test lint fmt
 
+# The wire names of the users' platform, which platform/ alone knows.
+platform_names = 'X-(Attempt-Id|Server-Seal|Expect-Instance|Not-Run|Caller-Service|Deadline-Ms|Instance-Id|Server-Load)|trafficSplit|targetLatencyMs|maxAttempts|heartbeatUrl|appAddr|[Ss]idecar|UMBERTHREAD_BOOT'
+
 all: lint test build
 
 build:
@@ -12,6 +15,7 @@
 	@test -z "$$(gofmt -l .)" || { echo "not formatted:"; gofmt -l .; exit 1; }
 	go vet ./...
 	go tool staticcheck ./...
+	@! git grep -nE $(platform_names) -- '*.go' ':!platform' || { echo "names of the platform belong in platform/ and deploy/"; exit 1; }
 
 PROVE_TIME ?= 30s
 
