--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -309,6 +309,10 @@
 		writeRefusal(w, "", fault.Wrap(fault.BadRequest, err, "malformed change"))
 		return
 	}
+	if len(req.Set) == 0 && len(req.Remove) == 0 {
+		writeRefusal(w, req.ID, fault.New(fault.InvalidSetting, "the change sets and removes nothing"))
+		return
+	}
 	if req.ID == "" {
 		req.ID = uuid.NewString()
 	}
--- a/internal/node/input_test.go
+++ b/internal/node/input_test.go
@@ -152,3 +152,29 @@
 		}
 	})
 }
+
+// TestEmptyChangeIsNoVersion: a change that sets and removes nothing, as comments
+// alone make one, is refused with a type.
+func TestEmptyChangeIsNoVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "a", nil, nil)
+	resp, err := http.Post("http://"+n.opt.Admin+"/v1/config", "application/json", strings.NewReader(`{"id":"empty","base":0}`))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(result{body: string(b)}.problem().Reason).To(gomega.Equal(fault.InvalidSetting.String()))
+	g.Expect(n.conf.Load().version).To(gomega.BeZero())
+}
+
+// TestRefusalWithoutAnIDHasNoEmptyOne: the caller gave none and the request was
+// refused before it got one.
+func TestRefusalWithoutAnIDHasNoEmptyOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "a", nil, nil)
+	resp, err := http.Get("http://" + n.opt.HTTP + "/call/no/such/kind")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusNotFound))
+	g.Expect(resp.Header).NotTo(gomega.HaveKey(HeaderRequestID))
+}
--- a/internal/node/refusal.go
+++ b/internal/node/refusal.go
@@ -42,7 +42,9 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set(HeaderRun, p.Run)
-	h.Set(HeaderRequestID, id)
+	if id != "" {
+		h.Set(HeaderRequestID, id)
+	}
 	if e.RetryAfter > 0 {
 		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
 		h.Set("Retry-After", strconv.Itoa(seconds))
