--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -121,10 +121,6 @@
 	return time.Duration(n.stopAt.Load()) + n.opt.StopNotice.Duration
 }
 
-// ServeHTTP answers a caller; it lets a platform's adapter bring listeners of
-// its own.
-func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) { n.serveCall(w, r) }
-
 // Ready tells whether the node serves callers: it runs, it is not stopping
 // and it knows settings.
 func (n *Node) Ready() bool {
