--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -136,11 +136,10 @@
 // joinParent makes the call part of the request that the backend server
 // beside this node has in hand: its deadline, rank and retry budget hold.
 func (n *Node) joinParent(c *call, token string) *fault.Error {
-	v, ok := n.works.Load(token)
-	if !ok {
+	w := n.workOf(token)
+	if w == nil {
 		return fault.New(fault.Canceled, "the request that this call belongs to has ended")
 	}
-	w := v.(*work)
 	c.id = w.call.id
 	c.join(w, c.policy.Deadline)
 	return nil
