Give a service's retries to the requests that rank highest, by the window

Cause: with all servers of the deepest service turning away 55% for 8.5 s, a request with four or five calls there needs all of them.

Change: budget.Share counts a window in slices, without a lock; retries go to the ranks above a level. Leases are three quarters, 24 retries a request; a server that turned a call away may be asked again where no more servers may be. The ratio and the window come from what the platform's settings allow the fleet.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -37,12 +37,18 @@
 	return true
 }
 
-// Lease takes half of what is left, rounded down, for a call below. The half
-// that stays pays for this node's own retry if the answer is lost.
+// keptShare is the part of a pool that stays with the node that leases the
+// rest to a call below: of 24 retries, the node three calls further down has 9,
+// for all the calls that are made there; of halves it would have 3.
+const keptShare = 4
+
+// Lease takes three quarters of what is left, rounded down, for a call below.
+// What stays, at least one, pays for this node's own retry if the answer is
+// lost, and for the calls made beside this one.
 func (p *Pool) Lease() int {
 	for {
 		left := p.left.Load()
-		n := left / 2
+		n := left - (left+keptShare-1)/keptShare
 		if n <= 0 {
 			return 0
 		}
@@ -77,40 +83,3 @@
 		}
 	}
 }
-
-// milli is the fixed-point unit of a Ratio's tokens.
-const milli = 1000
-
-// Ratio keeps the retries sent to one service a small share of its first
-// attempts. Every first attempt earns a fraction of a token and every retry
-// costs one. It is safe for concurrent use.
-type Ratio struct {
-	tokens atomic.Int64
-}
-
-// Earn credits one first attempt at the given share (0..1). At most burst
-// retries are saved up.
-func (r *Ratio) Earn(share float64, burst int) {
-	t := r.tokens.Add(int64(share * milli))
-	if most := int64(burst) * milli; t > most {
-		r.tokens.CompareAndSwap(t, most)
-	}
-}
-
-// Spend pays for one retry if it leaves at least keep of them saved up: what is
-// less urgent leaves some to the more urgent.
-func (r *Ratio) Spend(keep int) bool {
-	if r.tokens.Add(-milli) >= int64(keep)*milli {
-		return true
-	}
-	r.tokens.Add(milli)
-	return false
-}
-
-// Charge pays for a call that is made in any case and counts as a retry, as it
-// belongs to a run that was itself a repeat. The debt is at most burst.
-func (r *Ratio) Charge(burst int) {
-	if t := r.tokens.Add(-milli); t < -int64(burst)*milli {
-		r.tokens.Add(milli)
-	}
-}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -11,6 +11,7 @@
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/rank"
+	"github.com/umberthread/umberthread/route"
 	"github.com/umberthread/umberthread/settings"
 )
 
@@ -41,6 +42,12 @@
 	bodyLen int64
 
 	attempts int
+	// avoid is the instance of the last attempt, turnedAway is set if its
+	// backend server turned the call away, and sentTo are the instances whose
+	// backend servers were offered the call.
+	avoid      *route.Instance
+	turnedAway bool
+	sentTo     []*route.Instance
 	// trail names the failed attempts, and detail is a sentence about the
 	// failure, for the log.
 	trail  strings.Builder
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 	entered, nested paths
 	peers           peers
 	kinds           kindTable
-	ratios          sync.Map // service -> *budget.Ratio
+	retryShares     sync.Map // service -> *budget.Share
 	shares          sync.Map // called service -> *atomic.Int32
 
 	gate    *gate
@@ -388,12 +388,13 @@
 	})
 }
 
-func (n *Node) ratio(service string) *budget.Ratio {
-	if v, ok := n.ratios.Load(service); ok {
-		return v.(*budget.Ratio)
+// retries returns the share of retries of a service.
+func (n *Node) retries(service string) *budget.Share {
+	if v, ok := n.retryShares.Load(service); ok {
+		return v.(*budget.Share)
 	}
-	v, _ := n.ratios.LoadOrStore(service, &budget.Ratio{})
-	return v.(*budget.Ratio)
+	v, _ := n.retryShares.LoadOrStore(service, &budget.Share{})
+	return v.(*budget.Share)
 }
 
 // takeShare counts a nested call against the share of this node's slots that
--- a/route/instance.go
+++ b/route/instance.go
@@ -29,6 +29,17 @@
 	Seen *Observed
 }
 
+// In tells whether the instance is one of others, which may be of an earlier
+// snapshot.
+func (i *Instance) In(others []*Instance) bool {
+	for _, o := range others {
+		if o.Seen == i.Seen {
+			return true
+		}
+	}
+	return false
+}
+
 // Observed is what callers have seen of an instance. The zero value is an
 // instance of which nothing is known.
 type Observed struct {
--- a/route/picker.go
+++ b/route/picker.go
@@ -55,16 +55,34 @@
 	Options Options
 	// Avoid is an instance that has just failed this request, or nil.
 	Avoid *Instance
+	// AvoidIfOthers is set if Avoid is chosen where no other instance takes the
+	// request.
+	AvoidIfOthers bool
+	// Among are the only instances that may be chosen, nil for any.
+	Among []*Instance
 }
 
 // Pick returns the instance to send a request to, or the reason why none
 // takes it: NoBackend, or Overload if the levels of all that could be tried
 // shed its rank.
 func (s *Snapshot) Pick(q *Query, r Rand) (*Instance, fault.Code) {
+	in, code := s.pick(q, r)
+	if in != nil || q.Avoid == nil || !q.AvoidIfOthers {
+		return in, code
+	}
+	all := *q
+	all.Avoid = nil
+	return s.pick(&all, r)
+}
+
+func (s *Snapshot) pick(q *Query, r Rand) (*Instance, fault.Code) {
 	svc := s.Services[q.Service]
 	if svc == nil {
 		return nil, fault.NoBackend
 	}
+	if len(q.Among) > 0 {
+		return svc.among(q)
+	}
 	first, second := svc.Own, svc.other(q, r)
 	if len(first) == 0 || len(second) > 0 && q.spills(first, second, r) {
 		first, second = second, first
@@ -79,6 +97,36 @@
 	return svc.any(q, r, code)
 }
 
+// among returns the best of the instances that the query allows and that still
+// serve.
+func (s *Service) among(q *Query) (*Instance, fault.Code) {
+	best, code := q.bestOf(s.Own, nil, fault.NoBackend)
+	for _, ins := range s.Others {
+		best, code = q.bestOf(ins, best, code)
+	}
+	if best != nil {
+		return best, fault.None
+	}
+	return nil, code
+}
+
+// bestOf returns the best of best and the allowed ones of ins.
+func (q *Query) bestOf(ins []*Instance, best *Instance, code fault.Code) (*Instance, fault.Code) {
+	for _, in := range ins {
+		if !in.In(q.Among) {
+			continue
+		}
+		if c := q.admits(in, ins); c != fault.None {
+			code = worse(code, c)
+			continue
+		}
+		if best == nil || q.better(in, best) {
+			best = in
+		}
+	}
+	return best, code
+}
+
 // any looks at every other domain, from a random start, for an instance that
 // takes the request. code is the reason so far.
 func (s *Service) any(q *Query, r Rand, code fault.Code) (*Instance, fault.Code) {
@@ -232,7 +280,7 @@
 }
 
 func (q *Query) admits(in *Instance, all []*Instance) fault.Code {
-	if in == q.Avoid {
+	if q.Avoid != nil && in.Seen == q.Avoid.Seen {
 		return fault.NoBackend
 	}
 	if !in.Seen.usable(q.Now) && !q.tooManyEjected(in, all) {
--- a/settings/key.go
+++ b/settings/key.go
@@ -30,9 +30,10 @@
 	KeyRetention time.Duration
 	RetryBudget  int
 	RetryRatio   float64
-	// RetryBurst is how many retries to a service one node may save up, and
-	// AttemptsMax how many backend servers one call may be sent to, 0 for as
-	// many as its budget pays.
+	RetryWindow  time.Duration
+	// RetryBurst is how many retries to a service one node may send beside the
+	// ratio, and AttemptsMax how many backend servers one call may be sent to,
+	// 0 for as many as its budget pays.
 	RetryBurst      int
 	AttemptsMax     int
 	QueueMax        int
@@ -163,9 +164,10 @@
 	boolKey("idempotent", "false", AtKind, "Whether the request may be executed twice without harm.", func(p *Policy) *bool { return &p.Idempotent }),
 	boolKey("key_required", "false", AtKind, "Whether the request must carry an Idempotency-Key and is run at most once.", func(p *Policy) *bool { return &p.KeyRequired }),
 	durationKey("key_retention", "24h", time.Minute, 30*24*time.Hour, AtKind, "How long an Idempotency-Key and its outcome are kept.", func(p *Policy) *time.Duration { return &p.KeyRetention }),
-	intKey("retry_budget", "3", 0, 16, AtKind, "Retries that one request may cause over its whole tree of calls.", func(p *Policy) *int { return &p.RetryBudget }),
-	shareKey("retry_ratio", "0.05", AtService, "Share of first attempts to a service that may be added as retries.", func(p *Policy) *float64 { return &p.RetryRatio }),
-	intKey("retry_burst", "10", 0, 1000, AtService, "Retries to a service that one node may save up.", func(p *Policy) *int { return &p.RetryBurst }),
+	intKey("retry_budget", "3", 0, 64, AtKind, "Retries that one request may cause over its whole tree of calls.", func(p *Policy) *int { return &p.RetryBudget }),
+	shareKey("retry_ratio", "0.05", AtService, "Share of the first attempts of a window to a service that may be added as retries.", func(p *Policy) *float64 { return &p.RetryRatio }),
+	durationKey("retry_window", "10s", time.Second, 10*time.Minute, AtService, "Time over which retries and first attempts are counted; the window before it pays too if it had more.", func(p *Policy) *time.Duration { return &p.RetryWindow }),
+	intKey("retry_burst", "10", 0, 1000, AtService, "Retries to a service that one node may send in a window beside the ratio.", func(p *Policy) *int { return &p.RetryBurst }),
 	intKey("attempts_max", "0", 0, 16, AtKind, "Backend servers that one call may be sent to; 0 leaves it to the retry budget.", func(p *Policy) *int { return &p.AttemptsMax }),
 	intKey("queue_max", "32", 0, 4096, AtService, "Requests that may wait beside one backend server.", func(p *Policy) *int { return &p.QueueMax }),
 	durationKey("queue_wait", "1s", time.Millisecond, 10*time.Second, AtService, "Longest wait in the queue; at most four mean service times are used of it.", func(p *Policy) *time.Duration { return &p.QueueWait }),
