End a planned stop in its time whatever a duty waits for

A stop waited for all duties, and one that dials a node which does not answer takes up to two seconds; with requests in flight until the end that is too late. Ruled out: the request path, its goroutines are not waited for.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -318,11 +318,34 @@
 		done = false
 	}
 	n.wireSrv.Close()
-	n.Close()
+	n.closeParts()
+	if !n.awaitDuties(time.Until(deadline) + stopTail) {
+		n.info("node", "A duty has not ended in time; the process ends without it.")
+	}
 	n.info("node", "Stopped.", "finished", done)
 	return done
 }
 
+// stopTail is how long beyond a stop's time the duties have to end. One that
+// dials a node which does not answer would take up to two seconds, and has
+// nothing to finish: what must last is synced when it is promised.
+const stopTail = 150 * time.Millisecond
+
+// awaitDuties waits until all duties have ended; false if they take longer.
+func (n *Node) awaitDuties(most time.Duration) bool {
+	ended := make(chan struct{})
+	go func() {
+		n.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
+
 const (
 	// successorLook is how often a stopping node looks for another instance.
 	successorLook = 20 * time.Millisecond
@@ -360,8 +383,13 @@
 	return false
 }
 
-// Close ends the process's parts at once.
+// Close ends the process's parts at once, and waits until its duties have ended.
 func (n *Node) Close() {
+	n.closeParts()
+	n.wg.Wait()
+}
+
+func (n *Node) closeParts() {
 	select {
 	case <-n.stop:
 		return
@@ -373,7 +401,6 @@
 	n.wireSrv.Close()
 	n.control.close()
 	n.gossip.close()
-	n.wg.Wait()
 }
 
 func (n *Node) info(part, text string, kv ...any) {
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -104,9 +104,24 @@
 	}
 }
 
+// logReplicas tells of a failed test what its replicas believe.
+func logReplicas(t *testing.T, nodes []*testNode) {
+	if !t.Failed() {
+		return
+	}
+	for _, n := range nodes {
+		g := n.replicas.groups[configGroup]
+		t.Logf("%s (%s): leads %v, leader at %q, applied %d, members %+v", n.opt.Name, n.opt.Control, g.leads.Load(), *g.leaderAddr.Load(), g.applied.Load(), *g.conf.Load())
+		for _, e := range n.events.all() {
+			t.Logf("  %s %s: %s", e.Time.Format("05.000"), e.Part, e.Text)
+		}
+	}
+}
+
 func TestCutOffDomainGoesOnServingAndCatchesUp(t *testing.T) {
 	g := gomega.NewWithT(t)
 	nodes := startReplicas(t, "a", "b", "c")
+	t.Cleanup(func() { logReplicas(t, nodes) })
 	nw := newNetwork(nodes...)
 	cut := nodes[2]
 	_, r := nodes[0].change("", 0, settings.Entries{
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -66,3 +67,21 @@
 	g.Eventually(stopped, 8*time.Second).Should(gomega.Receive(gomega.BeTrue()))
 	g.Expect(second.call("f/s/k", "", nil, nil).status).To(gomega.Equal(200))
 }
+
+// TestStopDoesNotWaitForADial: a duty is dialling a node that does not answer.
+func TestStopDoesNotWaitForADial(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first := startNode(t, "a", nil, nil)
+	n := startNode(t, "a", []string{first.opt.Control}, func(o *Options) { o.StopTimeout = Duration{time.Second} })
+	dialling := make(chan struct{}, 100)
+	n.dial = func(string, time.Duration) (net.Conn, error) {
+		dialling <- struct{}{}
+		time.Sleep(4 * time.Second)
+		return nil, net.ErrClosed
+	}
+	n.control.pool.Close()
+	g.Eventually(dialling, 5*time.Second).Should(gomega.Receive())
+	began := time.Now()
+	g.Expect(n.Stop()).To(gomega.BeTrue())
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 2*time.Second))
+}
