--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,10 @@
 
 prove:
 	go run ./cmd/umberbench prove --time $(PROVE_TIME)
+
+SEEDS ?= 50
+
+.PHONY: soak
+
+soak: build
+	bin/umberbench soak --seeds $(SEEDS) --jobs 3
--- /dev/null
+++ b/internal/soak/plan_test.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// TestPlanFollowsFromItsSeed, loses one disk at a time, and needs a disk only
+// where there is one.
+func TestPlanFollowsFromItsSeed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		span := time.Duration(rapid.IntRange(5, 60).Draw(t, "span")) * time.Second
+		steps := Plan(seed, 6, replicas, span)
+		again := Plan(seed, 6, replicas, span)
+		if len(steps) != len(again) {
+			t.Fatalf("%d steps, then %d", len(steps), len(again))
+		}
+		last, lost := time.Duration(0), -repairTime
+		for i, s := range steps {
+			if s != again[i] || s.At < last || s.Target < 0 || s.Target >= 6 {
+				t.Fatalf("step %d: %v, then %v", i, s, again[i])
+			}
+			last = s.At
+			if (s.Kind == Wipe || s.Kind == Torn) && s.Target >= replicas {
+				t.Fatalf("%v needs a disk", s)
+			}
+			if s.Kind == Wipe && s.At-lost < repairTime {
+				t.Fatalf("%v comes too soon after another", s)
+			}
+			if s.Kind == Wipe {
+				lost = s.At
+			}
+		}
+	})
+}
+
+// TestChecksFindWhatIsBroken gives the checks what a broken fleet would show.
+func TestChecksFindWhatIsBroken(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := &run{callers: newCallers(nil)}
+	note := 1
+	stop := time.Now()
+	r.spells = []*spell{
+		{Step: Step{Kind: Term, Target: 2}, began: stop, ended: stop.Add(5 * time.Second)},
+		{Step: Step{Kind: ServerDrain, Target: 0}, began: stop.Add(time.Minute), ended: stop.Add(2 * time.Minute), drained: true, startedAfter: 3},
+	}
+	r.callers.attempts = []attempt{
+		{id: "twice", sort: note, status: 200},
+		{id: "lie", sort: note, status: 503, notRun: true},
+		{id: "wrong", sort: note, status: 200, wrong: "another's answer"},
+		{id: "made up", sort: note, status: 200},
+		{id: "cut", sort: note, entry: 2, sent: stop.Add(time.Second), ended: stop.Add(2 * time.Second)},
+	}
+	runs := map[string]int{"twice": 2, "lie": 1, "wrong": 1, "cut": 1}
+	for _, a := range r.callers.taken() {
+		r.checkAttempt(a, runs[a.id])
+	}
+	r.checkOnce(runs)
+	r.checkStops(runs)
+	r.checkDrains()
+	found := map[string]int{}
+	for _, b := range r.broken {
+		found[b.Promise]++
+	}
+	g.Expect(found).To(gomega.Equal(map[string]int{"at most once": 1, "honest refusal": 1, "whole answer": 2, "planned stop": 1, "drain": 1}))
+}
