Ask another node for settings soon after one that does not answer

Ruled out: late hints, the domain's other nodes had the version 10 ms after it was accepted; slow fetches, those from a node that answers take a few milliseconds. Change: 300 ms, twice as much after every second failure in a row, up to two seconds.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,7 +26,12 @@
 const (
 	// keptChanges is how many changes a node can hand on.
 	keptChanges = 256
-	// fetchTimeout bounds one fetch of settings.
+	// fetchFirst bounds the first fetches of settings: many round trips, and
+	// little of the two seconds in which settings are due, as the node that was
+	// asked may be gone and the next hint comes within half a second.
+	fetchFirst = 300 * time.Millisecond
+	// fetchTimeout bounds a fetch after some have failed: a large document over a
+	// slow link takes longer.
 	fetchTimeout = 2 * time.Second
 )
 
@@ -107,11 +112,17 @@
 	n.event("config", "Version "+formatUint(next.version)+" is in force.")
 }
 
+// fetchWait returns how long a fetch may take after so many have failed in a row.
+func fetchWait(failed int) time.Duration {
+	const tries = 2
+	return min(fetchTimeout, fetchFirst<<min(failed/tries, 8))
+}
+
 // fetchConfig brings this node up to the version of the node at addr.
-func (n *Node) fetchConfig(addr string) error {
+func (n *Node) fetchConfig(addr string, timeout time.Duration) error {
 	var reply control.FetchReply
 	req := control.FetchRequest{Since: n.conf.Load().version}
-	if err := n.control.pool.Call(addr, "Fetch", &req, &reply, fetchTimeout); err != nil {
+	if err := n.control.pool.Call(addr, "Fetch", &req, &reply, timeout); err != nil {
 		return err
 	}
 	if reply.Full != nil {
--- /dev/null
+++ b/internal/node/fetch_test.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/settings"
+)
+
+// TestFetchDoesNotWaitForANodeThatIsGone: the first that told of new settings
+// does not answer, as it has lost power since. Another has them as well.
+func TestFetchDoesNotWaitForANodeThatIsGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = mute.Close() }()
+	behindNode, ahead := startNode(t, "a", nil, nil), startNode(t, "a", nil, nil)
+	ahead.takeFull(7, settings.Entries{"#deadline": "4s"})
+	began := time.Now()
+	behindNode.gossip.heard(mute.Addr().String(), 7)
+	behindNode.gossip.heard(ahead.opt.Control, 7)
+	g.Eventually(func() uint64 { return behindNode.conf.Load().version }, 5*time.Second, 5*time.Millisecond).Should(gomega.Equal(uint64(7)))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second))
+}
+
+func TestFetchMayTakeLongerAfterFailures(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(fetchWait(0)).To(gomega.Equal(fetchFirst))
+	g.Expect(fetchWait(1)).To(gomega.Equal(fetchFirst))
+	g.Expect(fetchWait(2)).To(gomega.Equal(2 * fetchFirst))
+	g.Expect(fetchWait(100)).To(gomega.Equal(fetchTimeout))
+}
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -206,16 +206,21 @@
 
 // fetchLoop is the duty that brings the settings up to what others have.
 func (g *gossiper) fetchLoop() {
+	failed := 0
 	for {
 		select {
 		case <-g.n.stop:
 			return
 		case b := <-g.fetches.C():
-			if b.version > g.n.conf.Load().version {
-				if err := g.n.fetchConfig(b.addr); err != nil {
-					g.n.warn("config", "Cannot fetch settings.", "from", b.addr, "err", err)
-				}
+			if b.version <= g.n.conf.Load().version {
+				continue
 			}
+			if err := g.n.fetchConfig(b.addr, fetchWait(failed)); err != nil {
+				failed++
+				g.n.warn("config", "Cannot fetch settings.", "from", b.addr, "err", err)
+				continue
+			}
+			failed = 0
 		}
 	}
 }
