Keep why the last attempt failed once, drop a method nobody calls

Read once more: a call kept two flags that both follow from the code of its last failure, budget.Share had a method that nothing used, and three texts said disturbance where the field says fault. Behaviour is the same; assertions are untouched.

--- a/budget/share.go
+++ b/budget/share.go
@@ -78,13 +78,6 @@
 	return true
 }
 
-// Level returns the rank from which requests get retries.
-func (s *Share) Level() rank.Level {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.level
-}
-
 // epochOf numbers the slices of time from 1, so that 0 is a slice never used.
 func epochOf(now time.Duration, l Limits) int64 {
 	return int64(now/max(1, l.Window/slices)) + 1
--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -65,7 +65,7 @@
 	soaks.Flag("seed", "First seed; 0 draws one.").Uint64Var(&sk.seed)
 	soaks.Flag("seeds", "How many seeds to play.").Default("1").IntVar(&sk.seeds)
 	soaks.Flag("jobs", "How many to play at once.").Default("1").IntVar(&sk.jobs)
-	soaks.Flag("for", "How long disturbances begin in each.").Default("20s").DurationVar(&sk.span)
+	soaks.Flag("for", "How long faults are injected in each.").Default("20s").DurationVar(&sk.span)
 	soaks.Flag("nodes", "Number of nodes of each fleet, at least 6.").Default("6").IntVar(&sk.nodes)
 	soaks.Flag("rate", "Requests per second to each fleet.").Default("120").IntVar(&sk.perSecond)
 	runs[soaks.FullCommand()] = func() error { return runSoak(*bin, sk) }
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -9,7 +9,7 @@
 	"github.com/umberthread/umberthread/internal/soak"
 )
 
-// soakSpan is how long disturbances begin in a run of the soak here. By hand it
+// soakSpan is how long faults are injected in a run of the soak here. By hand it
 // runs longer: make soak.
 const soakSpan = 8 * time.Second
 
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -42,14 +42,11 @@
 	bodyLen int64
 
 	attempts int
-	// avoid is the instance of the last attempt, turnedAway is set if it or its
-	// backend server turned the call away for load, rejected if the backend
-	// server did, and sentTo are the instances whose backend servers were offered
-	// the call.
-	avoid      *route.Instance
-	turnedAway bool
-	rejected   bool
-	sentTo     []*route.Instance
+	// avoid is the instance of the last attempt, lastFailure why it failed, and
+	// sentTo are the instances whose backend servers were offered the call.
+	avoid       *route.Instance
+	lastFailure fault.Code
+	sentTo      []*route.Instance
 	// trail names the failed attempts, and detail is a sentence about the
 	// failure, for the log.
 	trail  strings.Builder
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -75,8 +75,10 @@
 		}
 		n.stats.retries.Add(1)
 		c.avoid = in
-		c.rejected = ferr != nil && ferr.Code == fault.Rejected
-		c.turnedAway = ferr != nil && turnsAway(ferr.Code)
+		c.lastFailure = fault.None
+		if ferr != nil {
+			c.lastFailure = ferr.Code
+		}
 	}
 }
 
@@ -260,7 +262,7 @@
 	c.attempts++
 	now := n.clock()
 	q := route.Query{
-		Service: c.service, Rank: c.rank, Depth: c.depth, Now: now, Avoid: c.avoid, AvoidIfOthers: c.rejected, Among: c.allowed(),
+		Service: c.service, Rank: c.rank, Depth: c.depth, Now: now, Avoid: c.avoid, AvoidIfOthers: c.lastFailure == fault.Rejected, Among: c.allowed(),
 		Options: route.Options{SpillAt: c.policy.SpillAt, EjectMax: c.policy.EjectMax, Ramp: c.policy.Ramp},
 	}
 	if c.policy.Mode != admission.ModeFull {
@@ -298,7 +300,7 @@
 // enters is refused at once, with that time.
 func (n *Node) pick(c *call, q *route.Query) (*route.Instance, fault.Code) {
 	in, code := n.routes.Load().Pick(q, localRand{})
-	if code != fault.NoBackend || c.depth == 0 || c.turnedAway {
+	if code != fault.NoBackend || c.depth == 0 || turnsAway(c.lastFailure) {
 		return in, code
 	}
 	until := q.Now + min(returnWait, c.scope.Remaining()/returnShare)
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -97,13 +97,13 @@
 	useSettings(t, "[fleet.f.service.s]\n[fleet.f.service.s.kind.k]\n", n)
 	startStandin(t, n, "f/s", 4, map[string]standin.Kind{"k": {Time: time.Millisecond, Answer: 64}})
 	n.serves("f/s", 1)
-	c := &call{service: "f/s", depth: 1, turnedAway: true, scope: scope.New(time.Now().Add(time.Minute))}
+	c := &call{service: "f/s", depth: 1, lastFailure: fault.Overload, scope: scope.New(time.Now().Add(time.Minute))}
 	q := &route.Query{Service: "f/s", Now: n.clock(), Avoid: n.routes.Load().Services["f/s"].Own[0]}
 	began := time.Now()
 	_, code := n.pick(c, q)
 	g.Expect(code).To(gomega.Equal(fault.NoBackend))
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", returnWait/2))
-	c.turnedAway = false
+	c.lastFailure = fault.None
 	_, code = n.pick(c, q)
 	g.Expect(code).To(gomega.Equal(fault.None), "an instance that was lost may be there again")
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,7 +50,7 @@
 // harmless tells whether the kind disturbs no node.
 func (k Kind) harmless() bool { return k == Change || k == Race || k == Term }
 
-// Step is one disturbance.
+// Step is one injected fault, or one planned act of an operator.
 type Step struct {
 	At   time.Duration
 	Kind Kind
