Make a learner ready at the first suspicion and swap it in after two seconds

Ruled out: swap in one step (the majorities of old and new members need not meet), joint change (needs both majorities, bears no more while it lasts than four voters do), removing the lost voter first (two of two voters must answer, and a voter wrongly suspected is gone at once).

Now a candidate that answers under its identity becomes a learner after 0.6 s of a voter's silence, which costs no quorum; after 2 s it gets the vote and the silent one is removed, with a look every 100 ms while a change is due. A new leader no longer removes a voter as one too many before it has heard all.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -115,12 +115,16 @@
 
 // GroupStatus is one replica group as one replica sees it.
 type GroupStatus struct {
-	Group    int      `json:"group"`
-	Leads    bool     `json:"leads"`
-	Leader   string   `json:"leader,omitempty"`
-	Applied  uint64   `json:"applied"`
-	Voters   []string `json:"voters"`
-	Learners []string `json:"learners,omitempty"`
+	Group   int    `json:"group"`
+	Leads   bool   `json:"leads"`
+	Leader  string `json:"leader,omitempty"`
+	Applied uint64 `json:"applied"`
+	// BearsLoss tells, on the leader, whether the group commits on after one more
+	// loss, and RepairMs how long it could not the last time, in milliseconds.
+	BearsLoss bool     `json:"bears_loss"`
+	RepairMs  int64    `json:"repair_ms,omitempty"`
+	Voters    []string `json:"voters"`
+	Learners  []string `json:"learners,omitempty"`
 }
 
 // Status returns the node's state.
@@ -174,6 +178,8 @@
 	s := &ReplicaStatus{ID: r.id}
 	for _, g := range r.groups {
 		gs := GroupStatus{Group: g.id, Leads: g.leads.Load(), Leader: r.leaderAddr(g.id), Applied: g.applied.Load()}
+		gs.BearsLoss = gs.Leads && g.bears.Load()
+		gs.RepairMs = time.Duration(g.repairTook.Load()).Milliseconds()
 		if conf := g.conf.Load(); conf != nil {
 			for _, p := range conf.Voters {
 				gs.Voters = append(gs.Voters, p.ID+"@"+p.Addr)
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -24,8 +24,8 @@
 	compactAfter = 4096
 	// repairEvery is how many ticks lie between two looks at the members.
 	repairEvery = 20
-	// growTicks is the same while the group lacks replicas.
-	growTicks = 4
+	// unsettledEvery is the same while a change of the members is due.
+	unsettledEvery = 4
 	// caughtUp is how many entries a learner may lack to get a vote.
 	caughtUp = 16
 )
@@ -52,6 +52,13 @@
 	leads      atomic.Bool
 	conf       atomic.Pointer[raft.Conf]
 	applied    atomic.Uint64
+	// settled is false while this replica leads and a change of the members is
+	// due, and bears tells whether the group commits on after one more loss.
+	settled, bears atomic.Bool
+	// exposedSince is since when the group does not bear a loss, and repairTook how
+	// long it was so the last time, in nanoseconds.
+	exposedSince time.Time
+	repairTook   atomic.Int64
 }
 
 type waiter struct {
@@ -109,13 +116,42 @@
 func (g *group) tick() {
 	g.core.Tick()
 	g.ticks++
-	every := repairEvery
-	if len(g.core.Conf().Voters) < g.r.n.opt.Replicas {
-		every = growTicks
+	if g.core.Role() != raft.Leader {
+		g.settled.Store(true)
+		g.exposedSince = time.Time{}
+		return
+	}
+	if g.ticks%unsettledEvery == 0 {
+		g.lookAtMembers()
 	}
-	if g.ticks%every == 0 && g.core.Role() == raft.Leader {
-		g.repair()
+}
+
+// lookAtMembers makes the next change of the membership if one is due. It looks
+// closely while the group is not as it should be: between two changes of one
+// repair, a further loss can cost the quorum.
+func (g *group) lookAtMembers() {
+	members, opt := g.members(), g.repairOptions()
+	settled := repair.Settled(members, opt)
+	g.settled.Store(settled)
+	g.noteBearing(repair.BearsLoss(members, opt))
+	if settled && g.ticks%repairEvery != 0 {
+		return
 	}
+	g.repair(members, opt)
+}
+
+// noteBearing keeps how long the group could not bear a loss.
+func (g *group) noteBearing(bears bool) {
+	switch {
+	case !bears && g.exposedSince.IsZero():
+		g.exposedSince = time.Now()
+	case bears && !g.exposedSince.IsZero():
+		took := time.Since(g.exposedSince)
+		g.exposedSince = time.Time{}
+		g.repairTook.Store(int64(took))
+		g.r.n.event("replica", "Group "+formatUint(uint64(g.id))+": it bears a loss again after "+took.Round(time.Millisecond).String()+".")
+	}
+	g.bears.Store(bears)
 }
 
 // work does what the core wants done, in the order that its promises need.
@@ -237,11 +273,8 @@
 	}
 }
 
-// repair makes the next change of the membership, if there is one to make.
-func (g *group) repair() {
-	if g.core.ConfPending() {
-		return
-	}
+// members is what the decision about the membership looks at.
+func (g *group) members() repair.Group {
 	conf := g.core.Conf()
 	health := map[string]repair.Health{}
 	for _, p := range append(append([]raft.Peer(nil), conf.Voters...), conf.Learners...) {
@@ -249,9 +282,22 @@
 			health[p.ID] = repair.Health{Silent: time.Duration(ticks) * raftTick, Lag: lag}
 		}
 	}
-	plan, ok := repair.Next(repair.Group{
-		Conf: conf, Self: g.r.id, Health: health, Candidates: g.r.verified(),
-	}, repair.Options{Target: g.r.n.opt.Replicas, ReplaceAfter: g.r.n.opt.ReplaceAfter.Duration, MaxLag: caughtUp})
+	return repair.Group{Conf: conf, Self: g.r.id, Health: health, Candidates: g.r.verified()}
+}
+
+func (g *group) repairOptions() repair.Options {
+	o := &g.r.n.opt
+	return repair.Options{
+		Target: o.Replicas, SuspectAfter: o.SuspectAfter.Duration, ReplaceAfter: o.ReplaceAfter.Duration, MaxLag: caughtUp,
+	}
+}
+
+// repair makes the next change of the membership, if there is one to make.
+func (g *group) repair(members repair.Group, opt repair.Options) {
+	if g.core.ConfPending() {
+		return
+	}
+	plan, ok := repair.Next(members, opt)
 	if !ok {
 		return
 	}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -40,6 +40,9 @@
 	// Shards is how many groups share the idempotency keys. It is fixed when
 	// the groups are formed.
 	Shards int `toml:"shards"`
+	// SuspectAfter is how long a replica may be unheard of before another is made
+	// ready for its place, without a vote.
+	SuspectAfter Duration `toml:"suspect_after"`
 	// ReplaceAfter is how long a replica may be unheard of before another
 	// takes its place.
 	ReplaceAfter Duration `toml:"replace_after"`
@@ -93,6 +96,7 @@
 		Admin:        "127.0.0.1:7003",
 		Replicas:     5,
 		Shards:       1,
+		SuspectAfter: Duration{2 * time.Second},
 		ReplaceAfter: Duration{time.Minute},
 		StopTimeout:  Duration{30 * time.Second},
 		Lease:        Duration{3 * time.Second},
@@ -172,12 +176,15 @@
 		return fault.New(fault.InvalidSetting, "sweep and heartbeat must be at least 1ms, and stop_notice at least 0s")
 	}
 	for key, d := range map[string]Duration{
-		"replace_after": o.ReplaceAfter, "stop_timeout": o.StopTimeout, "lease": o.Lease, "start_wait": o.StartWait,
+		"suspect_after": o.SuspectAfter, "replace_after": o.ReplaceAfter, "stop_timeout": o.StopTimeout, "lease": o.Lease, "start_wait": o.StartWait,
 	} {
 		if d.Duration < lo || d.Duration > hi {
 			return fault.Newf(fault.InvalidSetting, "%s = %s; allowed is %s to %s", key, d, lo, hi)
 		}
 	}
+	if o.SuspectAfter.Duration > o.ReplaceAfter.Duration {
+		return fault.Newf(fault.InvalidSetting, "suspect_after = %s; allowed is at most replace_after, %s", o.SuspectAfter, o.ReplaceAfter)
+	}
 	return nil
 }
 
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -136,56 +136,66 @@
 
 const (
 	// verifyEvery is the time between two rounds of asking replicas who they
-	// are, and growEvery the same while a group lacks replicas.
+	// are, and verifySoon the same while a change of a group's members is due.
 	verifyEvery = 500 * time.Millisecond
-	growEvery   = 100 * time.Millisecond
+	verifySoon  = 100 * time.Millisecond
 )
 
 // verifyLoop is the duty that asks the replicas which others tell of for their
 // identity, while this one leads a group. Gossip is late: it may name the
-// identity that stood at an address before its disk was lost. A group that
-// lacks replicas asks at the addresses from the settings as well, as a fleet
-// that starts together has not met by gossip yet.
+// identity that stood at an address before its disk was lost. While a change of
+// the members is due it also asks at the addresses from the settings and at
+// those of the members, as who stands there now may not have been told of yet.
 func (r *replicas) verifyLoop() {
 	rounds := 0
-	r.n.every(growEvery, func(time.Time) {
+	r.n.every(verifySoon, func(time.Time) {
 		rounds++
-		grows := r.growing()
-		if !r.leadsAny() || !grows && rounds%int(verifyEvery/growEvery) != 0 {
+		due := r.changeDue()
+		if !r.leadsAny() || !due && rounds%int(verifyEvery/verifySoon) != 0 {
 			return
 		}
 		told := r.n.view.Load().replicas
-		if grows {
-			told = append(told[:len(told):len(told)], r.atBootstrap(told)...)
+		if due {
+			told = append(told[:len(told):len(told)], r.atAddresses(told)...)
 		}
 		alive := r.ask(told)
 		r.alive.Store(&alive)
 	})
 }
 
-// growing tells whether a group that this replica knows lacks replicas.
-func (r *replicas) growing() bool {
+// changeDue tells whether a group that this replica leads lacks a sound member.
+func (r *replicas) changeDue() bool {
 	for _, g := range r.groups {
-		if c := g.conf.Load(); c != nil && len(c.Voters) < r.n.opt.Replicas {
+		if g.leads.Load() && !g.settled.Load() {
 			return true
 		}
 	}
 	return false
 }
 
-// atBootstrap returns the replicas at the addresses from the settings that are
-// not among those told of.
-func (r *replicas) atBootstrap(told []raft.Peer) []raft.Peer {
+// atAddresses returns the replicas at the addresses from the settings, and at
+// those of the groups' members, that are not among those told of.
+func (r *replicas) atAddresses(told []raft.Peer) []raft.Peer {
+	asked := map[string]bool{r.n.opt.AdvertiseControl: true}
+	addrs := slices.Clone(r.n.bootstrap())
+	for _, g := range r.groups {
+		if conf := g.conf.Load(); conf != nil {
+			for _, p := range conf.Voters {
+				addrs = append(addrs, p.Addr)
+			}
+		}
+	}
 	var out []raft.Peer
-	for _, addr := range r.n.bootstrap() {
-		known := slices.ContainsFunc(told, func(p raft.Peer) bool { return p.Addr == addr })
-		if known || addr == r.n.opt.AdvertiseControl {
+	for _, addr := range addrs {
+		if asked[addr] {
 			continue
 		}
+		asked[addr] = true
 		var reply control.IdentityReply
-		err := r.n.control.pool.Call(addr, "Identity", &control.Empty{}, &reply, growEvery)
-		if err == nil && reply.ID != "" {
-			out = append(out, raft.Peer{ID: reply.ID, Addr: addr, Domain: reply.Domain})
+		err := r.n.control.pool.Call(addr, "Identity", &control.Empty{}, &reply, verifySoon)
+		p := raft.Peer{ID: reply.ID, Addr: addr, Domain: reply.Domain}
+		if err == nil && reply.ID != "" && !slices.Contains(told, p) {
+			out = append(out, p)
 		}
 	}
 	return out
--- a/internal/node/replica_test.go
+++ b/internal/node/replica_test.go
@@ -27,6 +27,7 @@
 		n := startNode(t, d, boot, func(o *Options) {
 			o.DataFolder = dir
 			o.Replicas = len(domains)
+			o.SuspectAfter = Duration{600 * time.Millisecond}
 			o.ReplaceAfter = Duration{2 * time.Second}
 		})
 		nodes = append(nodes, n)
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -18,11 +18,18 @@
 	Lag uint64
 }
 
+// sound tells whether the member was heard lately and follows closely.
+func (h Health) sound(o Options) bool { return h.Lag <= o.MaxLag && h.Silent < o.SuspectAfter }
+
 // Options are the settings of the repair.
 type Options struct {
 	// Target is how many voters the group should have.
 	Target int
-	// ReplaceAfter is how long a voter may be silent.
+	// SuspectAfter is the silence of a voter after which a learner is made
+	// ready for its place.
+	SuspectAfter time.Duration
+	// ReplaceAfter is the silence after which a learner that has caught up
+	// takes its place.
 	ReplaceAfter time.Duration
 	// MaxLag is how many entries a learner may lack to get a vote.
 	MaxLag uint64
@@ -47,28 +54,54 @@
 	Reason string
 }
 
+// Settled tells whether the group is as it should be: the look for the next
+// change may take its time.
+func Settled(g Group, o Options) bool {
+	_, suspected := silentVoter(g, o.SuspectAfter)
+	return !suspected && len(g.Conf.Voters) == o.Target && len(g.Conf.Learners) == 0
+}
+
+// BearsLoss tells whether the group commits on after any one more loss: all that
+// it needs and one more are known to follow closely.
+func BearsLoss(g Group, o Options) bool {
+	sound := 0
+	for _, v := range g.Conf.Voters {
+		if v.ID == g.Self || g.Health[v.ID].sound(o) && !replacedAt(g, v) {
+			sound++
+		}
+	}
+	return sound > len(g.Conf.Voters)/2+1
+}
+
 // Next returns the next change of the membership, or false if there is none
 // to make.
+//
+// A learner costs no quorum, so it is taken in at the first suspicion; it gets
+// the vote only once the silent voter counts as lost. A voter that was silent
+// for less keeps its place.
 func Next(g Group, o Options) (Plan, bool) {
 	if p, ok := moved(g); ok {
 		return p, true
 	}
-	if p, ok := promote(g, o); ok {
-		return p, true
-	}
-	lost, hasLost := lostVoter(g, o)
+	lost, hasLost := silentVoter(g, o.ReplaceAfter)
+	suspect, hasSuspect := silentVoter(g, o.SuspectAfter)
 	if hasLost && len(g.Conf.Voters) > o.Target {
 		return Plan{g.Conf.Without(lost.ID), "removed " + lost.ID + ", whose place is taken"}, true
 	}
-	if p, ok := dropLearner(g, o); ok {
+	if p, ok := dropLearner(g, o, hasSuspect); ok {
 		return p, true
 	}
-	if len(g.Conf.Learners) == 0 && (len(g.Conf.Voters) < o.Target || hasLost) {
-		if c, ok := bestCandidate(g, lost); ok {
+	if hasLost || len(g.Conf.Voters) < o.Target {
+		if p, ok := promote(g, o); ok {
+			return p, true
+		}
+	}
+	if len(g.Conf.Learners) == 0 && (len(g.Conf.Voters) < o.Target || len(g.Conf.Voters) == o.Target && hasSuspect) {
+		if c, ok := bestCandidate(g, suspect); ok {
 			return Plan{g.Conf.With(c, false), "added " + c.ID + " at " + c.Addr + " as a learner"}, true
 		}
 	}
-	if !hasLost && len(g.Conf.Voters) > o.Target {
+	if len(g.Conf.Voters) > o.Target && allHeard(g, o) {
 		p := surplus(g)
 		return Plan{g.Conf.Without(p.ID), "removed " + p.ID + ", one more than wanted"}, true
 	}
@@ -92,21 +125,21 @@
 func promote(g Group, o Options) (Plan, bool) {
 	for _, l := range g.Conf.Learners {
 		h, ok := g.Health[l.ID]
-		if ok && h.Lag <= o.MaxLag && h.Silent < o.ReplaceAfter/2 {
+		if ok && h.sound(o) {
 			return Plan{g.Conf.With(l, true), "gave " + l.ID + " a vote, it has caught up"}, true
 		}
 	}
 	return Plan{}, false
 }
 
-// lostVoter returns a voter whose disk is known to be lost, because another
-// identity answers at its address, or that has been silent for too long.
-func lostVoter(g Group, o Options) (raft.Peer, bool) {
+// silentVoter returns a voter whose disk is known to be lost, because another
+// identity answers at its address, or that was not heard for the given time.
+func silentVoter(g Group, after time.Duration) (raft.Peer, bool) {
 	for _, v := range g.Conf.Voters {
 		if v.ID == g.Self {
 			continue
 		}
-		if replacedAt(g, v) || g.Health[v.ID].Silent >= o.ReplaceAfter {
+		if replacedAt(g, v) || g.Health[v.ID].Silent >= after {
 			return v, true
 		}
 	}
@@ -122,15 +155,33 @@
 	return false
 }
 
-func dropLearner(g Group, o Options) (Plan, bool) {
+// dropLearner gives up a learner that is lost, or that nobody needs as all
+// voters are heard again.
+func dropLearner(g Group, o Options, suspicion bool) (Plan, bool) {
+	needed := suspicion || len(g.Conf.Voters) < o.Target
 	for _, l := range g.Conf.Learners {
 		if replacedAt(g, l) || g.Health[l.ID].Silent >= o.ReplaceAfter {
 			return Plan{g.Conf.Without(l.ID), "dropped the learner " + l.ID + ", it is lost"}, true
 		}
+		if !needed && allHeard(g, o) {
+			return Plan{g.Conf.Without(l.ID), "dropped the learner " + l.ID + ", all voters are heard again"}, true
+		}
 	}
 	return Plan{}, false
 }
 
+// allHeard tells whether all voters have answered this leader lately. A new
+// leader has not heard of a lost voter either way.
+func allHeard(g Group, o Options) bool {
+	for _, v := range g.Conf.Voters {
+		h, ok := g.Health[v.ID]
+		if v.ID != g.Self && (!ok || !h.sound(o)) {
+			return false
+		}
+	}
+	return true
+}
+
 // bestCandidate returns the replica outside the group whose failure domain
 // has the fewest voters, not counting the lost one.
 func bestCandidate(g Group, lost raft.Peer) (raft.Peer, bool) {
