Tell starts under one identity apart by their birth; bound what a malformed message takes

Cause: a backend server may start again under its identity, with sequences that begin anew: its announcements were passed over as late ones until the lease of the earlier start ran out, and what callers had observed of the earlier start went on counting. A fuzz target for gossip records, written with this, ended the process: five bytes name an array of 3.7 thousand million entries, and the codec made room for them first; pooled decoders kept a megabyte more after each such message.

Now an announcement carries its birth; a later start begins afresh here (its sequence, its state, its connections: requests that the earlier start had end at once) and at the nodes that call it (requests in flight, failures, cold start). Late words of an earlier start change nothing. A clock that stepped back makes a later start look earlier: it is taken in once the earlier one refuses a connection or its lease runs out. Announcements and records of another writer name no backend server; the member, its replica and the other instances of a summary hold.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -45,6 +45,8 @@
 	mu   sync.Mutex
 	idle []*conn
 	open int
+	// made are the open connections, in use or idle.
+	made map[*conn]struct{}
 
 	lost  atomic.Int64
 	times [MaxKinds]firstByte
@@ -61,7 +63,9 @@
 }
 
 // New returns a client of the backend server at addr.
-func New(addr string, o Options) *Client { return &Client{addr: addr, opt: o} }
+func New(addr string, o Options) *Client {
+	return &Client{addr: addr, opt: o, made: map[*conn]struct{}{}}
+}
 
 // Addr returns the backend server's address.
 func (c *Client) Addr() string { return c.addr }
@@ -298,7 +302,11 @@
 		c.mu.Unlock()
 		return nil, fault.Wrap(fault.BackendLost, err, "cannot connect to the backend server")
 	}
-	return &conn{Conn: raw, br: bufio.NewReader(raw), bw: bufio.NewWriter(raw)}, nil
+	cn := &conn{Conn: raw, br: bufio.NewReader(raw), bw: bufio.NewWriter(raw)}
+	c.mu.Lock()
+	c.made[cn] = struct{}{}
+	c.mu.Unlock()
+	return cn, nil
 }
 
 func (c *Client) put(cn *conn) {
@@ -312,7 +320,22 @@
 	_ = cn.Close()
 	c.mu.Lock()
 	c.open--
+	delete(c.made, cn)
+	c.mu.Unlock()
+}
+
+// Abandon closes all connections, those in use too: their requests end with an
+// error that says that they may have run.
+func (c *Client) Abandon() {
+	c.mu.Lock()
+	made := make([]*conn, 0, len(c.made))
+	for cn := range c.made {
+		made = append(made, cn)
+	}
 	c.mu.Unlock()
+	for _, cn := range made {
+		_ = cn.Close()
+	}
 }
 
 // Close closes the idle connections.
@@ -321,6 +344,9 @@
 	idle := c.idle
 	c.idle = nil
 	c.open -= len(idle)
+	for _, cn := range idle {
+		delete(c.made, cn)
+	}
 	c.mu.Unlock()
 	for _, cn := range idle {
 		_ = cn.Close()
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -24,8 +24,16 @@
 	return b.Bytes()
 }
 
-// Decode reads what Encode wrote.
+// Decode reads what Encode wrote. What is shorter than the lengths in it say is
+// refused before room is made for them: five bytes of another writer can name an
+// array of four thousand million entries, and the process would end for want of
+// memory.
 func Decode(b []byte, v any) error {
+	// Not a decoder of the library's pool: its buffer grows by a megabyte with
+	// each such message, and stays.
+	if err := msgpack.NewDecoder(bytes.NewReader(b)).Skip(); err != nil {
+		return fault.Wrap(fault.Protocol, err, "malformed message")
+	}
 	if err := msgpack.Unmarshal(b, v); err != nil {
 		return fault.Wrap(fault.Protocol, err, "malformed message")
 	}
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -32,9 +32,13 @@
 	Weight float64 `json:"weight,omitempty"`
 	// State is starting, serving or draining.
 	State string `json:"state"`
-	// Instance is the backend server's identity, new at each of its starts;
-	// empty if it has none. Sequence grows with each announcement under it.
+	// Instance is the backend server's identity, empty if it has none.
 	Instance string `json:"instance,omitempty"`
+	// Born is when this start of it began, in milliseconds of the Unix time by
+	// its own clock; 0 if it does not say. A later start under the same identity
+	// knows nothing of the earlier one.
+	Born int64 `json:"born,omitempty"`
+	// Sequence grows with each announcement of one start.
 	Sequence uint64 `json:"sequence,omitempty"`
 }
 
@@ -88,6 +92,9 @@
 	if a.Weight == 0 {
 		a.Weight = 1
 	}
+	if a.Born < 0 {
+		return fault.Newf(fault.BadRequest, "born = %d; allowed are milliseconds of the Unix time", a.Born)
+	}
 	n.renew(a, state)
 	return nil
 }
@@ -106,18 +113,21 @@
 	if n.outdated(a, old) {
 		return
 	}
-	if old != nil && old.instance != a.Instance {
-		n.retire(old.instance)
-		old.client.Close()
+	if old != nil && old.anotherStart(a) {
+		n.retire(old)
+		endEarlier(old, a)
 		old = nil
 	}
 	next := &local{
 		service: a.Service, slots: a.Slots, weight: a.Weight, life: chart.Start,
-		instance: a.Instance, sequence: a.Sequence,
+		instance: a.Instance, born: a.Born, sequence: a.Sequence,
 		expires: time.Now().Add(n.opt.Lease.Duration),
 	}
 	if old != nil {
-		next.life = old.life
+		next.life, next.start = old.life, old.start
+	} else {
+		n.backendStarts++
+		next.start = n.backendStarts
 	}
 	if to, ok := backendChart.Next(next.life, backendSays[state]); ok {
 		next.life = to
@@ -139,41 +149,86 @@
 	}
 }
 
+// anotherStart tells whether an announcement is of another start than the one
+// taken in: of another identity, or of the same one born later. A start whose
+// birth was not known, as when a node that restarted found it, learns it now.
+func (be *local) anotherStart(a *Announcement) bool {
+	return be.instance != a.Instance || be.born > 0 && a.Born > be.born
+}
+
+// endEarlier ends what an earlier start had. Where the later one stands at the
+// same address the earlier cannot answer any more: its requests end at once
+// instead of waiting for answers.
+func endEarlier(old *local, a *Announcement) {
+	if old.client.Addr() == a.Address {
+		old.client.Abandon()
+		return
+	}
+	old.client.Close()
+}
+
 // outdated tells whether an announcement came late: a newer one of the same
-// identity was taken in, or another identity has taken its place. The lock is
-// held.
+// start was taken in, or a later start, or another identity has taken its
+// place. The lock is held.
+//
+// A clock that steps back can make a later start look like an earlier one. It is
+// then taken in when the earlier one is gone: at its first connection that is
+// refused, or when its lease runs out.
 func (n *Node) outdated(a *Announcement, old *local) bool {
 	if a.Instance == "" {
 		return false
 	}
-	if n.retired[a.Instance] {
+	if r, ok := n.retired[a.Instance]; ok && a.Born <= r.born && time.Since(r.at) < retiredLife {
 		return true
 	}
-	return old != nil && old.instance == a.Instance && a.Sequence <= old.sequence
+	if old == nil || old.instance != a.Instance || a.Born > old.born {
+		return false
+	}
+	return a.Born < old.born || a.Sequence <= old.sequence
+}
+
+// retirement is a start of a backend server that is gone for good.
+type retirement struct {
+	born int64
+	at   time.Time
 }
 
-// maxRetired bounds the identities remembered; they are forgotten together.
-const maxRetired = 256
+const (
+	// maxRetired bounds the identities remembered; they are forgotten together.
+	maxRetired = 256
+	// retiredLife is how long one is remembered: several times what an
+	// announcement that a cut held up takes.
+	retiredLife = time.Minute
+)
 
-// retire remembers an identity that is gone for good. The lock is held.
-func (n *Node) retire(instance string) {
-	if instance == "" {
+// retire remembers a start that is gone for good. The lock is held.
+func (n *Node) retire(be *local) {
+	if be.instance == "" {
 		return
 	}
 	if len(n.retired) >= maxRetired {
 		clear(n.retired)
 	}
-	n.retired[instance] = true
+	n.retired[be.instance] = retirement{be.born, time.Now()}
 }
 
-// Withdraw takes in that the backend server with an identity leaves for good.
-// What it has in hand goes on.
-func (n *Node) Withdraw(instance string) {
+// Withdraw takes in that a start of a backend server leaves for good. What it
+// has in hand goes on. born is 0 if the withdrawal does not say: then it is of
+// the start that is known.
+func (n *Node) Withdraw(instance string, born int64) {
 	n.localMu.Lock()
-	n.retire(instance)
 	be := n.local.Load()
+	known := be != nil && be.instance == instance
+	late := known && born > 0 && born < be.born
+	switch {
+	case late:
+	case known:
+		n.retire(be)
+	default:
+		n.retire(&local{instance: instance, born: born})
+	}
 	n.localMu.Unlock()
-	if be != nil && be.instance == instance {
+	if known && !late {
 		n.setLocal(nil, "it withdrew")
 	}
 }
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -435,7 +435,7 @@
 func (n *Node) meta() *member.Meta {
 	m := &member.Meta{Name: n.opt.Name, Data: n.opt.AdvertiseData, HTTP: n.opt.HTTP, Admin: n.opt.Admin, Replica: n.replicas.identity()}
 	if be := n.local.Load(); be != nil {
-		m.Service, m.Slots, m.Weight, m.State = be.service, be.slots, be.weight, be.state
+		m.Service, m.Slots, m.Weight, m.State, m.Start = be.service, be.slots, be.weight, be.state, be.start
 	}
 	if n.leaving() && m.State == member.Serving {
 		m.State = member.Draining
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -221,7 +221,7 @@
 func (n *Node) summaries() []member.Summary {
 	byService := map[string][]member.Remote{}
 	if be := n.local.Load(); be != nil && be.state == member.Serving && !n.leaving() {
-		byService[be.service] = append(byService[be.service], member.Remote{ID: n.id, Addr: n.opt.AdvertiseData, Slots: be.slots, Weight: be.weight})
+		byService[be.service] = append(byService[be.service], member.Remote{ID: n.id, Addr: n.opt.AdvertiseData, Slots: be.slots, Weight: be.weight, Start: be.start})
 	}
 	if id := n.replicas.identity(); id != "" {
 		byService[member.ReplicaService] = append(byService[member.ReplicaService], member.Remote{ID: id, Addr: n.opt.AdvertiseControl})
@@ -231,7 +231,7 @@
 			continue
 		}
 		if m.meta.State == member.Serving {
-			byService[m.meta.Service] = append(byService[m.meta.Service], member.Remote{ID: m.ID, Addr: m.meta.Data, Slots: m.meta.Slots, Weight: m.meta.Weight})
+			byService[m.meta.Service] = append(byService[m.meta.Service], member.Remote{ID: m.ID, Addr: m.meta.Data, Slots: m.meta.Slots, Weight: m.meta.Weight, Start: m.meta.Start})
 		}
 		if m.meta.Replica != "" {
 			byService[member.ReplicaService] = append(byService[member.ReplicaService], member.Remote{ID: m.meta.Replica, Addr: m.Addr})
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -23,10 +23,14 @@
 // It is immutable and swapped whole.
 type local struct {
 	service string
-	// instance is the identity that it announced, "" for none, and sequence
-	// the number of its last announcement.
+	// instance is the identity that it announced, "" for none, born when this
+	// start of it began, in milliseconds of the Unix time, 0 if unknown, and
+	// sequence the number of its last announcement.
 	instance string
+	born     int64
 	sequence uint64
+	// start counts the starts that stood beside this node.
+	start uint32
 	slots    int
 	weight   float64
 	// life is the state of the backend chart, and state the same as others
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,9 @@
 	withdrawn atomic.Bool
 	// retired are the identities of backend servers that stood here before,
 	// guarded by localMu.
-	retired map[string]bool
+	retired map[string]retirement
+	// backendStarts counts the starts of backend servers beside this node.
+	backendStarts uint32
 
 	stats     stats
 	latencies latencies
@@ -117,7 +119,7 @@
 	n := &Node{
 		opt: o, id: newID(), log: logger, start: time.Now(),
 		traces: newLast[Trace](keptTraces), events: newLast[Event](keptEvents),
-		burn: burn.NewBook(), retired: map[string]bool{}, stop: make(chan struct{}),
+		burn: burn.NewBook(), retired: map[string]retirement{}, stop: make(chan struct{}),
 		dial: control.DialTCP, mayDatagram: func(string) bool { return true },
 	}
 	n.seeds.Store(&o.Bootstrap)
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -44,14 +44,21 @@
 	summaries map[string]member.Summary
 	links     map[string]member.Link
 	domains   map[string]domainView
-	seen      map[string]*route.Observed
-	since     map[string]time.Duration
+	seen      map[string]*known
+}
+
+// known is what this node keeps of one start of an instance.
+type known struct {
+	start uint32
+	// since is when it was first seen, on this node's clock.
+	since    time.Duration
+	observed *route.Observed
 }
 
 func newTables(n *Node) *tables {
 	return &tables{
 		n: n, metas: map[string]*memberView{}, summaries: map[string]member.Summary{}, links: map[string]member.Link{},
-		domains: map[string]domainView{}, seen: map[string]*route.Observed{}, since: map[string]time.Duration{},
+		domains: map[string]domainView{}, seen: map[string]*known{},
 	}
 }
 
@@ -161,23 +168,24 @@
 	s := &route.Snapshot{Services: map[string]*route.Service{}}
 	used := map[string]bool{}
 	addrs := map[string]bool{}
-	add := func(id, addr, domain string, slots int, weight float64) *route.Instance {
+	add := func(id, addr, domain string, slots int, weight float64, start uint32) *route.Instance {
 		used[id] = true
 		addrs[addr] = true
-		in := &route.Instance{ID: id, Addr: addr, Domain: domain, Slots: slots, Weight: weight, Since: t.firstSeen(id), Seen: t.observed(id)}
+		k := t.known(id, start)
+		in := &route.Instance{ID: id, Addr: addr, Domain: domain, Slots: slots, Weight: weight, Since: k.since, Seen: k.observed}
 		in.Seen.Announced(false)
 		return in
 	}
 	if be := t.n.local.Load(); be != nil && be.state == member.Serving && !t.n.leaving() {
 		svc := service(s, be.service)
-		svc.Own = append(svc.Own, add(t.n.id, t.n.opt.AdvertiseData, t.n.opt.Domain, be.slots, be.weight))
+		svc.Own = append(svc.Own, add(t.n.id, t.n.opt.AdvertiseData, t.n.opt.Domain, be.slots, be.weight, be.start))
 	}
 	for _, m := range t.metas {
 		if m.meta.State != member.Serving || !m.alive() {
 			continue
 		}
 		svc := service(s, m.meta.Service)
-		svc.Own = append(svc.Own, add(m.ID, m.meta.Data, t.n.opt.Domain, m.meta.Slots, m.meta.Weight))
+		svc.Own = append(svc.Own, add(m.ID, m.meta.Data, t.n.opt.Domain, m.meta.Slots, m.meta.Weight, m.meta.Start))
 	}
 	for _, sum := range t.summaries {
 		if sum.Service == member.ReplicaService || !t.reachable(sum.Domain) || len(sum.Instances) == 0 {
@@ -185,7 +193,7 @@
 		}
 		var ins []*route.Instance
 		for _, r := range sum.Instances {
-			ins = append(ins, add(r.ID, r.Addr, sum.Domain, r.Slots, r.Weight))
+			ins = append(ins, add(r.ID, r.Addr, sum.Domain, r.Slots, r.Weight, r.Start))
 		}
 		svc := service(s, sum.Service)
 		svc.Others = append(svc.Others, ins)
@@ -211,32 +219,28 @@
 // longAgo is the start of an instance that is not new.
 const longAgo = -time.Hour
 
-func (t *tables) firstSeen(id string) time.Duration {
-	since, ok := t.since[id]
-	if !ok {
-		since = t.n.clock()
-		if since < settled {
-			since = longAgo
-		}
-		t.since[id] = since
+// known returns what is kept of an instance. Another start of its backend server
+// begins afresh: it is cold, and has none of the requests and failures of the
+// one before. Where the older word of another failure domain comes after the
+// newer one, the newer stays.
+func (t *tables) known(id string, start uint32) *known {
+	k := t.seen[id]
+	if k != nil && start <= k.start {
+		return k
 	}
-	return since
-}
-
-func (t *tables) observed(id string) *route.Observed {
-	o := t.seen[id]
-	if o == nil {
-		o = &route.Observed{}
-		t.seen[id] = o
+	since := t.n.clock()
+	if k == nil && since < settled {
+		since = longAgo
 	}
-	return o
+	k = &known{start: start, since: since, observed: &route.Observed{}}
+	t.seen[id] = k
+	return k
 }
 
 func (t *tables) prune(used map[string]bool) {
 	for id := range t.seen {
 		if !used[id] {
 			delete(t.seen, id)
-			delete(t.since, id)
 		}
 	}
 }
--- a/member/meta.go
+++ b/member/meta.go
@@ -4,6 +4,8 @@
 
 import (
 	"hash/fnv"
+	"net"
+	"slices"
 	"sort"
 	"strings"
 
@@ -60,16 +62,41 @@
 	State State
 	// Replica is the identity of the replica on this node's disk, or "".
 	Replica string
+	// Start counts the starts of backend servers beside the node: what was
+	// observed of an earlier one says nothing of the next.
+	Start uint32
 }
 
 // Encode returns the payload of a member record.
 func (m *Meta) Encode() []byte { return codec.Encode(m) }
 
-// DecodeMeta reads the payload of a member record.
+// DecodeMeta reads the payload of a member record. One that names a backend
+// server which cannot be used is taken as naming none.
 func DecodeMeta(b []byte) (*Meta, error) {
 	var m Meta
-	err := codec.Decode(b, &m)
-	return &m, err
+	if err := codec.Decode(b, &m); err != nil {
+		return nil, err
+	}
+	if m.State == Serving && !usable(m.Data, m.Slots, m.Weight) {
+		// The node is a member all the same; no backend server is named.
+		m.State = Absent
+	}
+	return &m, nil
+}
+
+const (
+	// maxSlots and maxWeight bound what a backend server may announce; a record
+	// beyond them is not of a node of this kind.
+	maxSlots  = 1 << 14
+	maxWeight = 100
+)
+
+// usable tells whether a record names a backend server that requests can be
+// sent to.
+func usable(addr string, slots int, weight float64) bool {
+	host, port, err := net.SplitHostPort(addr)
+	return err == nil && net.ParseIP(host) != nil && port != "" &&
+		slots >= 1 && slots <= maxSlots && weight > 0 && weight <= maxWeight
 }
 
 // ReplicaService is the pseudo service under which the nodes with a disk are
@@ -85,6 +112,8 @@
 	Addr   string
 	Slots  int
 	Weight float64
+	// Start is as in Meta.
+	Start uint32
 }
 
 // Summary is what a failure domain tells the others about one service.
@@ -155,16 +184,24 @@
 // Encode returns the payload of a link record.
 func (l *Link) Encode() []byte { return codec.Encode(l) }
 
-// DecodeSummary reads the payload of a summary record.
+// DecodeSummary reads the payload of a summary record. Instances that cannot be
+// used are left out; the others hold.
 func DecodeSummary(b []byte) (*Summary, error) {
 	var s Summary
-	err := codec.Decode(b, &s)
-	return &s, err
+	if err := codec.Decode(b, &s); err != nil {
+		return nil, err
+	}
+	if s.Service != ReplicaService {
+		s.Instances = slices.DeleteFunc(s.Instances, func(r Remote) bool { return !usable(r.Addr, r.Slots, r.Weight) })
+	}
+	return &s, nil
 }
 
 // DecodeLink reads the payload of a link record.
 func DecodeLink(b []byte) (*Link, error) {
 	var l Link
-	err := codec.Decode(b, &l)
-	return &l, err
+	if err := codec.Decode(b, &l); err != nil {
+		return nil, err
+	}
+	return &l, nil
 }
