See a caller leave that has sent further requests behind the one in work

Cause: net/http reads on while a request is in work, but only up to the first byte of the next request. A caller that sends requests behind one another and leaves was not seen: its request went on to its deadline. Requests that were read together with the first are not concerned, so that few callers are.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,3 +151,60 @@
 		resp.Close()
 	}
 }
+
+// TestAServerThatNeverAnswersWhatItCannotQueue: it works on two requests and
+// queues two; beyond them it never answers, nor anything after on that
+// connection. Slow work is answered; what hangs ends early, may have run, and
+// holds no connection afterwards.
+func TestAServerThatNeverAnswersWhatItCannotQueue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const slots, queue, sent = 2, 2, 8
+	const work = 40 * time.Millisecond
+	hang := make(chan struct{})
+	var held atomic.Int32
+	running := make(chan struct{}, slots)
+	_, addr, _ := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		if held.Add(1) > slots+queue {
+			held.Add(-1)
+			<-hang
+			return
+		}
+		defer held.Add(-1)
+		running <- struct{}{}
+		time.Sleep(work)
+		<-running
+		echo(w, r)
+	})
+	defer close(hang)
+	o := options()
+	o.MaxConns = sent
+	c := New(addr, o)
+	for range enoughSamples + 1 {
+		_, ferr := get(c, "/a", time.Second)
+		g.Expect(ferr).To(gomega.BeNil())
+	}
+	started := time.Now()
+	failures := make(chan *fault.Error, sent)
+	for range sent {
+		go func() {
+			_, ferr := get(c, "/b", 20*time.Second)
+			failures <- ferr
+		}()
+	}
+	answered := 0
+	for range sent {
+		ferr := <-failures
+		if ferr == nil {
+			answered++
+			continue
+		}
+		g.Expect(ferr.Code).To(gomega.Equal(fault.PeerSilent))
+		g.Expect(ferr.Run).To(gomega.Equal(fault.RunUnknown))
+	}
+	g.Expect(answered).To(gomega.BeNumerically(">=", slots+queue))
+	g.Expect(time.Since(started)).To(gomega.BeNumerically("<", 5*time.Second))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.Expect(c.open).To(gomega.Equal(len(c.idle)), "connections that hung are gone")
+	g.Expect(c.made).To(gomega.HaveLen(c.open))
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/umberthread/umberthread/budget"
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/callers"
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/rank"
@@ -32,11 +33,11 @@
 		n.writeRefusal(w, r, c, ferr)
 		return
 	}
-	stop := context.AfterFunc(r.Context(), func() {
-		c.callerLeft.Store(true)
-		c.scope.Cancel(fault.Canceled)
-	})
+	stop := context.AfterFunc(r.Context(), c.leave)
 	defer stop()
+	conn := callers.Of(r.Context())
+	conn.Watch(c.leave)
+	defer conn.Unwatch()
 	defer c.scope.Close()
 	n.stats.inflight.Add(1)
 	defer n.stats.inflight.Add(-1)
@@ -56,6 +57,12 @@
 	n.deliver(w, c, a)
 }
 
+// leave ends a call whose caller has left.
+func (c *call) leave() {
+	c.callerLeft.Store(true)
+	c.scope.Cancel(fault.Canceled)
+}
+
 // openAny reads what the request says of itself in the words of the edge.
 func (n *Node) openAny(r *http.Request) (*call, *fault.Error) {
 	if n.opt.Edge != nil {
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -30,9 +30,9 @@
 	born     int64
 	sequence uint64
 	// start counts the starts that stood beside this node.
-	start uint32
-	slots    int
-	weight   float64
+	start  uint32
+	slots  int
+	weight float64
 	// life is the state of the backend chart, and state the same as others
 	// are told it.
 	life    chart.State
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/umberthread/umberthread/budget"
 	"github.com/umberthread/umberthread/burn"
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/callers"
 	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/member"
@@ -163,7 +164,7 @@
 	}
 	n.wireSrv = wire.NewServer(n.serveExchange, wire.ServerOptions{Heartbeat: n.opt.Heartbeat.Duration, Sweep: n.opt.Sweep.Duration, IdleTimeout: idleMax})
 	n.adminSrv = &http.Server{Handler: n.adminRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	n.httpSrv = &http.Server{Handler: n.callerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleMax}
+	n.httpSrv = &http.Server{Handler: n.callerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleMax, ConnContext: callers.Context}
 	n.control = newControlServer(n)
 	n.duty("gossip", func() { n.gossip.run(lns.udp) })
 	n.serve("control", func() error { return n.control.serve(lns.control) })
@@ -180,7 +181,9 @@
 	n.life.happen(nodeChart, configured)
 	n.publishMeta()
 	n.serve("data", func() error { return n.wireSrv.Serve(lns.data) })
-	n.serve("http", func() error { return n.httpSrv.Serve(lns.http) })
+	arrivals := callers.Listen(lns.http)
+	n.duty("callers", func() { n.every(n.opt.Sweep.Duration, func(time.Time) { arrivals.Sweep() }) })
+	n.serve("http", func() error { return n.httpSrv.Serve(arrivals) })
 	n.info("node", "Serving.", "name", n.opt.Name, "failure_domain", n.opt.Domain, "http", n.opt.HTTP)
 	return nil
 }
