Search the limit at which a backend server finishes most

Cause: at the worst load all slots of the deepest service are taken, and its servers are slower when nearly full: at 28 of 29 slots or more each request took 1.3 times as long, so that 29 slots finished less than 27 do, and each of the eight lookups of a search took longer.

The guard compares, while all slots are taken, the times at two limits a sixteenth of the slots apart, and keeps the lower one only while it is seen to finish more (admission/search.go).

--- a/admission/guard.go
+++ b/admission/guard.go
@@ -116,6 +116,7 @@
 	ctl      controller
 	least    [MaxKinds]quantile
 	typical  [MaxKinds]quantile
+	search   limitSearch
 	// service is a moving mean of the time in the backend server.
 	service time.Duration
 }
@@ -227,9 +228,13 @@
 // must be refused with fault.Deadline.
 func (g *Guard) Done(now time.Duration, o Outcome, late []*Waiter) (*Waiter, []*Waiter) {
 	g.ctl.account(now, g.inflight, g.limit)
+	full := g.inflight >= int(g.limit) && len(g.queue) > 0
 	g.inflight--
 	g.ctl.done()
 	g.learn(o)
+	if full && o.Took > 0 && !o.Expired {
+		g.timed(now, o)
+	}
 	if o.Pushback && float64(g.inflight+1) >= pushbackFrom*float64(g.opt.Slots) {
 		g.ctl.pushback = true
 	}
@@ -237,6 +242,16 @@
 	return g.next(now, late)
 }
 
+// timed takes in a request that ran while all slots were taken, and follows the
+// search to the next limit at once.
+func (g *Guard) timed(now time.Duration, o Outcome) {
+	before := g.search.ceiling(g.opt.Slots)
+	g.search.finish(now, o.Kind, o.Took, g.opt.Slots)
+	if after := g.search.ceiling(g.opt.Slots); g.limit >= before || g.limit > after {
+		g.limit = after
+	}
+}
+
 // next admits the best waiter that can still finish, if a slot is free.
 func (g *Guard) next(now time.Duration, late []*Waiter) (*Waiter, []*Waiter) {
 	for g.inflight < int(g.limit) && len(g.queue) > 0 {
@@ -348,12 +363,14 @@
 const limitDecrease = 0.9
 
 // adjustLimit moves the concurrency limit: down when the backend server says
-// that it is overloaded, up by one slot a window until the declared slots.
+// that it is overloaded, up by one slot a window until what the search has
+// found, at most the declared slots.
 func (g *Guard) adjustLimit() {
 	slots := float64(g.opt.Slots)
 	if g.ctl.pushback {
+		g.search.interrupt()
 		g.limit = max(1, g.limit*limitDecrease)
 		return
 	}
-	g.limit = min(slots, g.limit+max(1, slots/16))
+	g.limit = min(g.search.ceiling(g.opt.Slots), g.limit+max(1, slots/16))
 }
