--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -219,7 +219,7 @@
 
 func (n *Node) refuse(w http.ResponseWriter, c *call, e *fault.Error) {
 	if c.parent != nil {
-		c.parent.failedBelow.Store(true)
+		c.parent.failed(e.Code)
 	}
 	n.stats.refused(e.Code)
 	c.detail = e.Detail
