--- a/admission/guard.go
+++ b/admission/guard.go
@@ -117,8 +117,6 @@
 	least    [MaxKinds]quantile
 	typical  [MaxKinds]quantile
 	search   limitSearch
-	// waste has a level for each kind of request that enters here.
-	waste [MaxKinds]*wasteLevel
 	// service is a moving mean of the time in the backend server.
 	service time.Duration
 }
@@ -168,9 +166,6 @@
 	}
 	if g.opt.Mode == ModeFull {
 		g.ctl.arrive(r.Rank)
-		if r.Depth == 0 && !g.enters(r) {
-			return Decision{Code: fault.Overload}
-		}
 		if !g.ctl.level.Admits(r.Rank, r.Depth) {
 			return Decision{Code: fault.Overload}
 		}
@@ -186,36 +181,6 @@
 	return g.enqueue(now, w)
 }
 
-// enters tells whether a request that enters here passes the level of its kind.
-func (g *Guard) enters(r Request) bool {
-	l := g.waste[r.Kind%MaxKinds]
-	if l == nil {
-		l = &wasteLevel{}
-		g.waste[r.Kind%MaxKinds] = l
-	}
-	l.arrive(r.Rank)
-	return l.level.Admits(r.Rank, 0)
-}
-
-// Entering returns the level that requests of a kind which enter here must pass.
-func (g *Guard) Entering(kind uint8) rank.Level {
-	if l := g.waste[kind%MaxKinds]; l != nil {
-		return l.level
-	}
-	return 0
-}
-
-// Ended takes in how a request that was let in here as it entered ended: whether
-// it was lost further down for want of time or room. Requests that are shed last
-// are not held off: what crowds them out is shed first.
-func (g *Guard) Ended(now time.Duration, r Request, lost bool) {
-	l := g.waste[r.Kind%MaxKinds]
-	if g.opt.Mode != ModeFull || r.Depth > 0 || l == nil || r.Rank.Class() == rank.Protected {
-		return
-	}
-	l.end(now, r.Rank, lost)
-}
-
 func (g *Guard) enqueue(now time.Duration, w *Waiter) Decision {
 	var evicted *Waiter
 	if len(g.queue) >= g.opt.QueueMax {
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -76,23 +76,8 @@
 	scope *scope.Scope
 	// finished counts the calls that it has made.
 	finished atomic.Uint32
-	// below is the fault.Code of the first call that it made which was refused
-	// or failed.
-	below atomic.Uint32
-}
-
-// failed notes that a call made for the work failed.
-func (w *work) failed(code fault.Code) {
-	w.below.CompareAndSwap(uint32(fault.None), uint32(code))
-}
-
-// failedBelow returns why the first of the calls made for the work failed, or
-// fault.None.
-func (w *work) failedBelow() fault.Code { return fault.Code(w.below.Load()) }
-
-// crowded tells whether a call failed for want of time or room.
-func crowded(code fault.Code) bool {
-	return code == fault.Overload || code == fault.QueueTimeout || code == fault.Deadline
+	// failedBelow is set once a call that it made was refused or failed.
+	failedBelow atomic.Bool
 }
 
 // depth is the work behind a call that is made for it now.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -219,7 +219,7 @@
 
 func (n *Node) refuse(w http.ResponseWriter, c *call, e *fault.Error) {
 	if c.parent != nil {
-		c.parent.failed(e.Code)
+		c.parent.failedBelow.Store(true)
 	}
 	n.stats.refused(e.Code)
 	c.detail = e.Detail
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -112,9 +112,9 @@
 	if n.opt.Edge != nil {
 		// The platform's callers get the backend server's own answer.
 		if c.parent != nil {
-			c.parent.failed(codeBelow(a.header))
+			c.parent.failedBelow.Store(true)
 		}
-		a.header = slices.DeleteFunc(a.header, func(f wireField) bool { return f.Name == HeaderRun || f.Name == headerBelow })
+		a.header = slices.DeleteFunc(a.header, func(f wireField) bool { return f.Name == HeaderRun })
 		return a, nil
 	}
 	defer a.close()
@@ -129,14 +129,6 @@
 	return nil, e.After(time.Duration(p.RetryAfterMs) * time.Millisecond)
 }
 
-// codeBelow returns why a backend server failed that a call below has failed.
-func codeBelow(fs []wireField) fault.Code {
-	if code, ok := fault.ParseCode(fieldValue(fs, headerBelow)); ok {
-		return code
-	}
-	return fault.Internal
-}
-
 // pathLevel is the level that a new request of this kind must pass at the
 // entry; further down only the levels of the services below count.
 func (n *Node) pathLevel(c *call) rank.Level {
@@ -166,9 +158,6 @@
 // levelBelow is the highest of own, the level of the backend server beside this
 // node, and those that requests of the call's root kind reach through it.
 func (n *Node) levelBelow(c *call, own rank.Level) rank.Level {
-	if c.depth == 0 {
-		own = max(own, n.gate.entering(n.kinds.index(c.target)))
-	}
 	return max(own, n.nested.level(c.root, n.clock()))
 }
 
--- a/internal/node/gate.go
+++ b/internal/node/gate.go
@@ -117,23 +117,6 @@
 	g.mu.Unlock()
 }
 
-// ended takes in whether a request that entered here was lost further down.
-func (g *gate) ended(r admission.Request, lost bool) {
-	if r.Depth > 0 {
-		return
-	}
-	g.mu.Lock()
-	g.guard.Ended(g.clock(), r, lost)
-	g.mu.Unlock()
-}
-
-// entering returns the level that requests of a kind which enter here must pass.
-func (g *gate) entering(kind uint8) rank.Level {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.guard.Entering(kind)
-}
-
 func (g *gate) refuseLate() {
 	for _, w := range g.late {
 		w.Wake <- fault.Deadline
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -24,9 +24,6 @@
 	HeaderBudget = "Umber-Retry-Budget"
 	// HeaderRun is on refusals: whether the request was run, no or unknown.
 	HeaderRun = "Umber-Run"
-	// headerBelow stands beside HeaderRun between nodes: why a call failed that
-	// a backend server made, as a code.
-	headerBelow = "Umber-Below"
 	// HeaderReplayed is on answers given from the record of an earlier run.
 	HeaderReplayed = "Umber-Replayed"
 	// HeaderKey is the standard idempotency key.
@@ -40,7 +37,7 @@
 	"Trailer": true, "Expect": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 	"Proxy-Authenticate": true, "Proxy-Authorization": true,
 	HeaderCall: true, HeaderRemaining: true, HeaderClass: true, HeaderBudget: true, HeaderRequestID: true,
-	headerBelow: true, HeaderRun: true, HeaderReplayed: true,
+	HeaderRun: true, HeaderReplayed: true,
 }
 
 // endToEnd returns the fields of h that travel on.
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -50,11 +50,10 @@
 	}
 	var p progress
 	kind := n.kinds.index(c.target)
-	asked := admission.Request{
+	code := n.gate.enter(c.scope, admission.Request{
 		Rank: c.rank, Depth: c.depth, Kind: kind, Deadline: n.clock() + c.scope.Remaining(),
 		Busy: n.nested.level(c.root, n.clock()) > 0,
-	}
-	code := n.gate.enter(c.scope, asked)
+	})
 	if code != fault.None {
 		p.happen(requestRefuse)
 		l := n.gate.load()
@@ -84,7 +83,6 @@
 		out := admission.Outcome{Kind: kind}
 		if ferr.Code == fault.Deadline {
 			out.Took, out.Expired = time.Since(started), true
-			n.gate.ended(asked, true)
 		}
 		n.gate.leave(out)
 		if ferr.Run == fault.RunNo {
@@ -110,14 +108,8 @@
 		a.length = 0
 	}
 	a.header = keepRun(a.header, resp.Header)
-	below := fault.None
-	if resp.StatusCode >= http.StatusInternalServerError {
-		below = w.failedBelow()
-	}
-	n.gate.ended(asked, crowded(below) || expired)
-	if n.opt.Edge != nil && below != fault.None {
-		a.header = append(a.header, wireField{Name: HeaderRun, Value: fault.RunUnknown.String()},
-			wireField{Name: headerBelow, Value: below.String()})
+	if n.opt.Edge != nil && resp.StatusCode >= http.StatusInternalServerError && w.failedBelow.Load() {
+		a.header = append(a.header, wireField{Name: HeaderRun, Value: fault.RunUnknown.String()})
 	}
 	a.close = func() {
 		resp.Close()
