Let callers that are turned away for load come back within their objective

Cause: the time to come back grew with the level to 1.7 s on average at the level of the worst load, of an objective of 1.5 s: a returning request that was served was nearly always late. The load lasts longer than callers would wait, so that a longer time does not find it over; another place in the order of shedding is what lets the request in.

Ruled out: the same rank on return (refused for sure while the level stands); shorter times where an instance is away, which do find it back.

--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -123,7 +123,9 @@
 func (c *call) refusal(code fault.Code, detail string, l rank.Level) *fault.Error {
 	e := fault.New(code, detail)
 	switch code {
-	case fault.Overload, fault.QueueTimeout, fault.ShareSpent, fault.NoBackend, fault.Draining, fault.Starting, fault.Rejected:
+	case fault.Overload, fault.QueueTimeout, fault.ShareSpent, fault.Rejected:
+		e.RetryAfter = comeBackInTime(l, c.policy.ObjectiveWithin)
+	case fault.NoBackend, fault.Draining, fault.Starting:
 		e.RetryAfter = comeBack(l)
 	}
 	return e
--- /dev/null
+++ b/internal/node/comeback_test.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/rank"
+	"github.com/umberthread/umberthread/settings"
+)
+
+// TestCallersTurnedAwayForLoadComeBackInTime: whatever the level, at most half
+// of the objective is gone when they come back; where an instance is away they
+// come back when it may be there again.
+func TestCallersTurnedAwayForLoadComeBackInTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, objective := range []time.Duration{150 * time.Millisecond, 1500 * time.Millisecond, time.Minute} {
+		c := &call{policy: &settings.Policy{ObjectiveWithin: objective}}
+		for level := rank.Level(0); level < rank.Count; level += 64 {
+			for range 50 {
+				back := c.refusal(fault.Overload, "", level).RetryAfter
+				g.Expect(back).To(gomega.BeNumerically(">", 0))
+				g.Expect(back).To(gomega.BeNumerically("<=", objective/2))
+				g.Expect(back).To(gomega.BeNumerically("<=", 3*comeBackMax/2))
+			}
+		}
+		away := c.refusal(fault.NoBackend, "", rank.Count/2).RetryAfter
+		g.Expect(away).To(gomega.BeNumerically(">=", time.Second))
+	}
+}
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -176,10 +176,6 @@
 	m.after(m.draw(modelAbove[r.kind]), func() { m.call(r) })
 }
 
-func comeBackMean(l rank.Level) time.Duration {
-	return comeBackMin + time.Duration(float64(l)/rank.Count*float64(comeBackMax-comeBackMin))
-}
-
 // refuse sends a caller away; it comes back once.
 func (m *fleetModel) refuse(r *modelRequest, wait time.Duration) {
 	if r.returned {
--- a/internal/node/refusal.go
+++ b/internal/node/refusal.go
@@ -63,13 +63,29 @@
 	comeBackMin = 200 * time.Millisecond
 	// comeBackMax is the longest, at a level that sheds nearly everything.
 	comeBackMax = 4 * time.Second
+	// comeBackShare is the mean share of the objective after which a caller that
+	// was turned away for load may come back: at most half of it is gone then.
+	comeBackShare = 1.0 / 3
 )
 
 // comeBack returns when a refused caller may come back: the longer the more
 // is being shed, spread over half to one and a half of that time so that
 // callers do not return together.
-func comeBack(l rank.Level) time.Duration {
+func comeBack(l rank.Level) time.Duration { return spread(comeBackMean(l)) }
+
+// comeBackInTime is comeBack for a request that was turned away for load: it
+// comes back with another place in the order of shedding, while an answer is
+// still worth most to its caller. The load outlasts the longest time that a
+// caller would wait, so that a longer one only makes its answer late.
+func comeBackInTime(l rank.Level, objective time.Duration) time.Duration {
+	return spread(min(comeBackMean(l), time.Duration(comeBackShare*float64(objective))))
+}
+
+func comeBackMean(l rank.Level) time.Duration {
 	shed := float64(l) / rank.Count
-	mean := float64(comeBackMin) + shed*float64(comeBackMax-comeBackMin)
-	return time.Duration(mean * (0.5 + rand.Float64()))
+	return comeBackMin + time.Duration(shed*float64(comeBackMax-comeBackMin))
+}
+
+func spread(mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * (0.5 + rand.Float64()))
 }
