--- a/e2e/state_test.go
+++ b/e2e/state_test.go
@@ -135,9 +135,9 @@
 	f.g.Expect(string(log)).To(gomega.ContainSubstring("The data folder is damaged and set aside"))
 }
 
-// change sends a change until the answer is clear, as operators do: a sync of
+// clearChange sends a change until the answer is clear, as operators do: a sync of
 // the disk may take seconds beside other load, and the same id is taken once.
-func (f *fleet) change(c *ctl.Client, req node.ChangeRequest) node.ChangeResult {
+func (f *fleet) clearChange(c *ctl.Client, req node.ChangeRequest) node.ChangeResult {
 	var res node.ChangeResult
 	var err error
 	f.g.Eventually(func() fault.Code {
@@ -160,7 +160,7 @@
 	f.ok(err)
 	v = d.Version
 	for i := range 500 {
-		res := f.change(c, node.ChangeRequest{ID: uuid.NewString(), Base: v, Set: settings.Entries{"#deadline": fmt.Sprintf("%dms", 1000+i)}})
+		res := f.clearChange(c, node.ChangeRequest{ID: uuid.NewString(), Base: v, Set: settings.Entries{"#deadline": fmt.Sprintf("%dms", 1000+i)}})
 		f.g.Expect(res.Version).To(gomega.Equal(v + 1))
 		v++
 	}
