--- a/internal/callers/callers_test.go
+++ b/internal/callers/callers_test.go
@@ -122,3 +122,24 @@
 		g.Expect(string(body)).To(gomega.Equal(fmt.Sprintf("/%d %d", i, size)))
 	}
 }
+
+// BenchmarkSweep looks at 1,000 connections with a request in work each, which
+// net/http reads.
+func BenchmarkSweep(b *testing.B) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = raw.Close() }()
+	ln := Listen(raw)
+	for range 1000 {
+		c := &Conn{l: ln}
+		c.reading.Lock()
+		c.Watch(func() {})
+		ln.conns[c] = struct{}{}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		ln.Sweep()
+	}
+}
