Hold a withdrawal whose start's birth is not known

Cause, found on reading: a node that restarted adopts its backend server without knowing its birth; a withdrawal that does not say one was then remembered for birth 0, and a late announcement with a birth brought the server back after it had left. The same for a withdrawal of an identity that this node never saw.

Ruled out: to refuse the identity whatever its birth (a later start under it may come). Now all starts are gone that were born until the withdrawal came, by the clock that the backend server shares with the node beside it.

Test: internal/node TestAWithdrawalWithoutABirthHolds, red before.

--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -114,7 +114,7 @@
 		return
 	}
 	if old != nil && old.anotherStart(a) {
-		n.retire(old)
+		n.retire(old.instance, old.born)
 		endEarlier(old, a)
 		old = nil
 	}
@@ -201,15 +201,21 @@
 	retiredLife = time.Minute
 )
 
-// retire remembers a start that is gone for good. The lock is held.
-func (n *Node) retire(be *local) {
-	if be.instance == "" {
+// retire remembers that a start of an identity is gone for good, and those before
+// it. Where its birth is not known, all are gone that were born until now: a
+// backend server and the node beside it have the same clock. The lock is held.
+func (n *Node) retire(instance string, born int64) {
+	if instance == "" {
 		return
 	}
 	if len(n.retired) >= maxRetired {
 		clear(n.retired)
 	}
-	n.retired[be.instance] = retirement{be.born, time.Now()}
+	now := time.Now()
+	if born == 0 {
+		born = now.UnixMilli()
+	}
+	n.retired[instance] = retirement{born, now}
 }
 
 // Withdraw takes in that a start of a backend server leaves for good. What it
@@ -223,9 +229,9 @@
 	switch {
 	case late:
 	case known:
-		n.retire(be)
+		n.retire(instance, be.born)
 	default:
-		n.retire(&local{instance: instance, born: born})
+		n.retire(instance, born)
 	}
 	n.localMu.Unlock()
 	if known && !late {
--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -68,6 +68,27 @@
 	g.Expect(announce(said(addr, 3000, 1)).state).To(gomega.Equal(member.Serving))
 }
 
+// TestAWithdrawalWithoutABirthHolds: it is of a start whose birth this node does
+// not know. A late announcement of that start does not bring it back.
+func TestAWithdrawalWithoutABirthHolds(t *testing.T) {
+	for name, known := range map[string]bool{"adopted": true, "never seen": false} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := startNode(t, "a", nil, nil)
+			addr := silentServer(t)
+			if known {
+				g.Expect(n.Announce(said(addr, 0, 0))).To(gomega.BeNil())
+			}
+			n.Withdraw("x", 0)
+			before := time.Now().Add(-time.Second).UnixMilli()
+			g.Expect(n.Announce(said(addr, before, 12))).To(gomega.BeNil())
+			g.Expect(n.local.Load()).To(gomega.BeNil())
+			g.Expect(n.Announce(said(addr, time.Now().Add(time.Second).UnixMilli(), 1))).To(gomega.BeNil())
+			g.Expect(n.local.Load()).NotTo(gomega.BeNil(), "a later start serves")
+		})
+	}
+}
+
 // TestALaterStartIsServingAgain: the earlier start was draining; the later one
 // is not.
 func TestALaterStartIsServingAgain(t *testing.T) {
