Keep the bounds of an announcement in one place

A comment on the search of the limit claimed a case that its code does not have. Behaviour as before.

--- a/admission/search.go
+++ b/admission/search.go
@@ -148,8 +148,8 @@
 	s.skip = slots
 }
 
-// interrupt gives up a trial: the slots were not all taken, or the server
-// turned requests away, so that its times cannot be compared.
+// interrupt gives up a trial: the server turned requests away, so that its times
+// cannot be compared.
 func (s *limitSearch) interrupt() {
 	s.n, s.sum = 0, 0
 	s.trial = 0
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -50,10 +50,8 @@
 	Call string `json:"call"`
 }
 
-const (
-	maxAnnouncement = 4 << 10
-	maxSlots        = 1 << 14
-)
+// maxAnnouncement bounds the body of an announcement, in bytes.
+const maxAnnouncement = 4 << 10
 
 func (n *Node) serveAnnounce(w http.ResponseWriter, r *http.Request) {
 	var a Announcement
@@ -83,11 +81,11 @@
 	if err != nil || net.ParseIP(host) == nil {
 		return fault.Newf(fault.BadRequest, "address = %q; allowed is an IP number and a port", a.Address)
 	}
-	if a.Slots < 1 || a.Slots > maxSlots || a.Connections < a.Slots {
-		return fault.Newf(fault.BadRequest, "slots = %d, connections = %d; allowed are 1 to %d slots and at least as many connections", a.Slots, a.Connections, maxSlots)
+	if a.Slots < 1 || a.Slots > member.MaxSlots || a.Connections < a.Slots {
+		return fault.Newf(fault.BadRequest, "slots = %d, connections = %d; allowed are 1 to %d slots and at least as many connections", a.Slots, a.Connections, member.MaxSlots)
 	}
-	if a.Weight < 0 || a.Weight > 100 {
-		return fault.Newf(fault.BadRequest, "weight = %v; allowed is 0 to 100", a.Weight)
+	if a.Weight < 0 || a.Weight > member.MaxWeight {
+		return fault.Newf(fault.BadRequest, "weight = %v; allowed is 0 to %d", a.Weight, member.MaxWeight)
 	}
 	if a.Weight == 0 {
 		a.Weight = 1
--- a/member/meta.go
+++ b/member/meta.go
@@ -85,10 +85,10 @@
 }
 
 const (
-	// maxSlots and maxWeight bound what a backend server may announce; a record
+	// MaxSlots and MaxWeight bound what a backend server may announce; a record
 	// beyond them is not of a node of this kind.
-	maxSlots  = 1 << 14
-	maxWeight = 100
+	MaxSlots  = 1 << 14
+	MaxWeight = 100
 )
 
 // usable tells whether a record names a backend server that requests can be
@@ -96,7 +96,7 @@
 func usable(addr string, slots int, weight float64) bool {
 	host, port, err := net.SplitHostPort(addr)
 	return err == nil && net.ParseIP(host) != nil && port != "" &&
-		slots >= 1 && slots <= maxSlots && weight > 0 && weight <= maxWeight
+		slots >= 1 && slots <= MaxSlots && weight > 0 && weight <= MaxWeight
 }
 
 // ReplicaService is the pseudo service under which the nodes with a disk are
