Show how a node hears of settings, and whether it knows a replica

Cause sought: settings late after all replicas returned. The logs could not tell whether a node had heard of a version before it had it, from whom, or since when it knew no replica. Now the line of a version has by, from and heard_ms_ago, "No replica is known." and "A replica is known." are logged, and the metrics have config_heard_version, config_late_seconds and replicas_known.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -65,11 +65,18 @@
 
 // Status is what umberctl status shows of one node.
 type Status struct {
-	ID       string        `json:"id"`
-	Name     string        `json:"name"`
-	Domain   string        `json:"failure_domain"`
-	UptimeMs int64         `json:"uptime_ms"`
-	Config   uint64        `json:"config_version"`
+	ID       string `json:"id"`
+	Name     string `json:"name"`
+	Domain   string `json:"failure_domain"`
+	UptimeMs int64  `json:"uptime_ms"`
+	Config   uint64 `json:"config_version"`
+	// Heard is the highest version that the node knows to exist, and LateMs how
+	// long the last one took from being heard of to being in force, in
+	// milliseconds.
+	Heard  uint64 `json:"config_heard_version"`
+	LateMs int64  `json:"config_late_ms"`
+	// Replicas is how many replicas the node knows.
+	Replicas int           `json:"replicas_known"`
 	Backend  BackendStatus `json:"backend"`
 	State    string        `json:"state"`
 	Members  int           `json:"members"`
@@ -132,7 +139,7 @@
 	v := n.view.Load()
 	s := Status{
 		ID: n.id, Name: n.opt.Name, Domain: n.opt.Domain, UptimeMs: n.clock().Milliseconds(),
-		Config: n.conf.Load().version, Backend: n.backendStatus(), State: nodeChart.Text(n.life.get()),
+		Config: n.conf.Load().version, Heard: n.gossip.highest.Load(), LateMs: n.news.last().Milliseconds(), Replicas: len(v.replicas), Backend: n.backendStatus(), State: nodeChart.Text(n.life.get()),
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.served.Load(), Calls: n.stats.calls.Load(),
 		Retries: n.stats.retries.Load(), Refusals: n.stats.bySlug(), Cut: n.stats.cut.Load(),
 		Silent: n.peers.silent(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.dropped(),
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -109,7 +109,10 @@
 	n.conf.Store(next)
 	n.applyGate()
 	n.gossip.configChanged(next.version)
-	n.event("config", "Version "+formatUint(next.version)+" is in force.")
+	late, way, from := n.news.force(n.clock(), next.version)
+	text := "Version " + formatUint(next.version) + " is in force."
+	n.info("config", text, "by", way, "from", from, "heard_ms_ago", late.Milliseconds())
+	n.remember("config", text)
 }
 
 // fetchWait returns how long a fetch may take after so many have failed in a row.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -148,7 +148,7 @@
 	reply.Known, reply.Domains = n.domainsFor(req.Known)
 	n.learnDomains(req.Domains)
 	n.takeExchange(req.Domain, req.Control, req.Records)
-	n.gossip.heard(req.Addr, req.Config)
+	n.gossip.heard(byExchange, req.Addr, req.Config)
 	return nil
 }
 
--- a/internal/node/document.go
+++ b/internal/node/document.go
@@ -76,7 +76,7 @@
 func (n *Node) awaitVersion(version uint64, deadline time.Time) {
 	const look = 5 * time.Millisecond
 	if addr := n.replicas.leaderAddr(configGroup); addr != "" && addr != n.opt.AdvertiseControl {
-		n.gossip.heard(addr, version)
+		n.gossip.heard(byAnswer, addr, version)
 	}
 	for n.conf.Load().version < version && time.Now().Before(deadline) {
 		time.Sleep(look)
--- a/internal/node/fetch_test.go
+++ b/internal/node/fetch_test.go
@@ -20,8 +20,8 @@
 	behindNode, ahead := startNode(t, "a", nil, nil), startNode(t, "a", nil, nil)
 	ahead.takeFull(7, settings.Entries{"#deadline": "4s"})
 	began := time.Now()
-	behindNode.gossip.heard(mute.Addr().String(), 7)
-	behindNode.gossip.heard(ahead.opt.Control, 7)
+	behindNode.gossip.heard(byPacket, mute.Addr().String(), 7)
+	behindNode.gossip.heard(byPacket, ahead.opt.Control, 7)
 	g.Eventually(func() uint64 { return behindNode.conf.Load().version }, 5*time.Second, 5*time.Millisecond).Should(gomega.Equal(uint64(7)))
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second))
 }
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -174,7 +174,7 @@
 		if err != nil {
 			continue
 		}
-		g.heard(g.addrOf(p.From), p.Config)
+		g.heard(byPacket, g.addrOf(p.From), p.Config)
 		// A full ring drops the packet, like the network may.
 		g.packets.Offer(datagram{addr.String(), p})
 	}
@@ -190,15 +190,22 @@
 	return ""
 }
 
-// heard notes that the node at addr has a version of the settings.
-func (g *gossiper) heard(addr string, version uint64) {
+// noteHighest keeps the highest version of the settings that is known to exist.
+func (g *gossiper) noteHighest(version uint64) {
 	for {
 		old := g.highest.Load()
 		if version <= old || g.highest.CompareAndSwap(old, version) {
-			break
+			return
 		}
 	}
-	if addr != "" && version > g.n.conf.Load().version {
+}
+
+// heard notes that the node at addr has a version of the settings.
+func (g *gossiper) heard(way newsWay, addr string, version uint64) {
+	g.noteHighest(version)
+	inForce := g.n.conf.Load().version
+	g.n.news.heard(g.n.clock(), version, inForce, way, addr)
+	if addr != "" && version > inForce {
 		// A full ring drops the hint; the next packet brings it again.
 		g.fetches.Offer(behind{addr, version})
 	}
@@ -258,7 +265,7 @@
 }
 
 func (g *gossiper) configChanged(version uint64) {
-	g.heard("", version)
+	g.noteHighest(version)
 	go g.post(func() { g.core.Nudge(nudges) })
 	g.nudgeLinks()
 }
@@ -354,7 +361,7 @@
 	if err := g.n.control.pool.Call(addr, "Sync", req, &reply, timeout); err != nil {
 		return false
 	}
-	g.heard(addr, reply.Config)
+	g.heard(bySync, addr, reply.Config)
 	if reply.Domain != g.n.opt.Domain {
 		return g.metForeign(addr, &reply)
 	}
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -162,7 +162,7 @@
 	l.met(domain, addr, &reply)
 	n.learnDomains(reply.Domains)
 	n.takeExchange(domain, reply.Control, reply.Records)
-	n.gossip.heard(addr, reply.Config)
+	n.gossip.heard(byExchange, addr, reply.Config)
 }
 
 // takeExchange spreads within this domain what another told of itself.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 	// backendStarts counts the starts of backend servers beside this node.
 	backendStarts uint32
 
+	news      news
 	stats     stats
 	latencies latencies
 	// requestLog bounds the lines about requests.
@@ -419,6 +420,11 @@
 // event logs a decision of note and keeps it for umberctl events.
 func (n *Node) event(part, text string) {
 	n.info(part, text)
+	n.remember(part, text)
+}
+
+// remember keeps a decision for umberctl events.
+func (n *Node) remember(part, text string) {
 	n.events.add(Event{Time: time.Now(), Node: n.opt.Name, Domain: n.opt.Domain, Part: part, Text: text})
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -130,6 +130,7 @@
 	}
 	sort.Slice(v.members, func(i, j int) bool { return v.members[i].ID < v.members[j].ID })
 	v.replicas = t.replicas()
+	t.n.watchReplicas(v.replicas)
 	t.n.view.Store(v)
 	next := t.routes()
 	next.Follow(t.n.routes.Load(), t.n.clock())
