--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -1,14 +1,14 @@
 package node
 
 import (
-	"maps"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/umberthread/umberthread/discovery"
+	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/gossip"
 	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/internal/ring"
@@ -16,32 +16,19 @@
 )
 
 const (
-	gossipTick     = 25 * time.Millisecond
-	gossipPeriod   = 500 * time.Millisecond
-	ackTimeout     = 150 * time.Millisecond
-	suspicion      = 2 * time.Second
-	forgetAfter    = 30 * time.Second
-	indirectProbes = 3
-	packetBytes    = 1100
-	maxDatagram    = 16 << 10
-	syncPeriod     = 2 * time.Second
-	joinRetry      = 100 * time.Millisecond
-	// youngFor is how long a process is young: it compares records often and
-	// asks the addresses from the settings every other time, so that a fleet
-	// that starts together has met within two or three seconds.
-	youngFor        = 5 * time.Second
-	youngSyncPeriod = 150 * time.Millisecond
-	youngTimeout    = 300 * time.Millisecond
-	bootstrapEvery  = 5
+	gossipTick      = 25 * time.Millisecond
+	gossipPeriod    = 500 * time.Millisecond
+	ackTimeout      = 150 * time.Millisecond
+	suspicion       = 2 * time.Second
+	forgetAfter     = 30 * time.Second
+	indirectProbes  = 3
+	packetBytes     = 1100
+	maxDatagram     = 16 << 10
 	nudges          = 3
-	controlTimeout  = 2 * time.Second
 	packetRing      = 1024
 	commandRing     = 256
 	fetchRing       = 64
 	maxFailedInARow = 2
-	// foreignEnough is how often nodes of other domains must have answered
-	// before a node takes itself for the first of its own.
-	foreignEnough = 10
 )
 
 type datagram struct {
@@ -73,28 +60,27 @@
 
 	joined  atomic.Bool
 	highest atomic.Uint64
-	// mu guards what follows. seeds are control addresses in this failure
-	// domain that nodes of other domains named, foreign is how often one of
-	// those answered before a member did, and home is an address from the
-	// settings that stands in this domain.
-	mu      sync.Mutex
-	seeds   []string
-	foreign int
-	home    string
+	// finder decides whom to compare records with; mu guards it.
+	mu     sync.Mutex
+	finder *discovery.Core
 }
 
 func newGossiper(n *Node) *gossiper {
 	self := gossip.Member{ID: n.id, Addr: n.opt.AdvertiseControl}
 	core := gossip.New(self, gossip.Options{
 		Period: gossipPeriod, AckTimeout: ackTimeout, Suspicion: suspicion, Forget: forgetAfter,
-		Indirect: indirectProbes, PacketBytes: packetBytes, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Indirect: indirectProbes, PacketBytes: packetBytes, Rand: newRand(),
 	})
 	return &gossiper{
 		n: n, core: core, tables: newTables(n), packets: ring.New[datagram](packetRing), fetches: ring.New[behind](fetchRing),
 		commands: make(chan func(), commandRing), linkNow: make(chan struct{}, 1),
+		finder: discovery.New(discovery.Options{Self: n.opt.AdvertiseControl, Domain: n.opt.Domain, Rand: newRand()}),
 	}
 }
 
+// newRand returns a source of choices of its own seed.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // run is the duty that owns the core.
 func (g *gossiper) run(udp *net.UDPConn) {
 	g.udp = udp
@@ -294,149 +280,85 @@
 
 // syncLoop is the duty of anti-entropy, and of joining.
 func (g *gossiper) syncLoop() {
-	for round := 0; ; round++ {
-		wait := syncPeriod
-		if g.young() {
-			wait = youngSyncPeriod
-		}
-		if !g.syncRound(round) && !g.joined.Load() {
-			wait = joinRetry
+	for {
+		targets, next := g.due()
+		for _, t := range targets {
+			go g.meet(t)
 		}
 		select {
 		case <-g.n.stop:
 			return
-		case <-time.After(wait):
+		case <-time.After(next):
 		}
 	}
 }
 
-// syncRound compares records with one node, or, in a young process, with a few
-// at once, as many addresses from the settings may be down; true if one of
-// them answered so that the node has joined.
-func (g *gossiper) syncRound(round int) bool {
-	if !g.young() {
-		return g.sync(g.syncTarget(round), controlTimeout)
-	}
-	targets := g.youngTargets(round)
-	results := make(chan bool, len(targets))
-	for _, addr := range targets {
-		go func() { results <- g.sync(addr, youngTimeout) }()
-	}
-	joined := false
-	for range targets {
-		joined = <-results || joined
-	}
-	return joined
+// due returns the addresses to compare records with now, and the wait to the next.
+func (g *gossiper) due() ([]discovery.Target, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.finder.SetBootstrap(g.n.bootstrap())
+	targets := g.finder.Due(g.n.clock())
+	return targets, max(0, g.finder.Next()-g.n.clock())
 }
 
-// youngTargets returns a member, the address from the settings that stands in
-// this failure domain, or all of them while none is known to, and one that
-// another domain named.
-func (g *gossiper) youngTargets(round int) []string {
+// meet compares records with the node at an address.
+func (g *gossiper) meet(t discovery.Target) {
+	answer, err := g.sync(t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	self := g.n.opt.AdvertiseControl
-	targets := map[string]bool{g.syncTarget(round): true, pickOther(g.seeds, self): true, g.home: true}
-	if g.home == "" {
-		for _, addr := range g.n.bootstrap() {
-			targets[addr] = true
-		}
+	if err != nil {
+		g.finder.Failed(t.Addr)
+		return
 	}
-	delete(targets, "")
-	delete(targets, self)
-	return slices.Collect(maps.Keys(targets))
+	g.finder.Answered(t.Addr, answer)
+	g.joined.Store(g.finder.Joined())
 }
 
-// sync compares records with the node at addr; true if that worked.
-func (g *gossiper) sync(addr string, timeout time.Duration) bool {
-	if addr == "" {
-		return false
-	}
+// sync compares records with the node at an address. One of another failure
+// domain only tells who it is and whom it knows in this one.
+func (g *gossiper) sync(t discovery.Target) (discovery.Answer, error) {
 	var digest gossip.Digest
 	if !g.do(func() { digest = g.core.Digest() }) {
-		return false
+		return discovery.Answer{}, fault.New(fault.Draining, "this node is stopping")
 	}
 	req := &control.SyncRequest{Addr: g.n.opt.AdvertiseControl, Domain: g.n.opt.Domain, Digest: digest, Config: g.n.conf.Load().version}
 	var reply control.SyncReply
-	if err := g.n.control.pool.Call(addr, "Sync", req, &reply, timeout); err != nil {
-		return false
+	if err := g.n.control.pool.Call(t.Addr, "Sync", req, &reply, t.Timeout); err != nil {
+		return discovery.Answer{}, err
 	}
-	g.heard(bySync, addr, reply.Config)
+	answer := discovery.Answer{Domain: reply.Domain, Seeds: reply.Seeds}
+	g.heard(bySync, t.Addr, reply.Config)
 	if reply.Domain != g.n.opt.Domain {
-		return g.metForeign(addr, &reply)
+		g.n.control.learnDomain(reply.Domain, t.Addr)
+		return answer, nil
 	}
-	if slices.Contains(g.n.bootstrap(), addr) {
-		g.mu.Lock()
-		g.home = addr
-		g.mu.Unlock()
-	}
-	g.joined.Store(true)
 	var mine []gossip.Record
 	g.do(func() {
 		g.core.Merge(g.n.clock(), reply.Records)
 		mine = g.core.Differing(reply.Digest)
 	})
-	if len(mine) > 0 {
-		req.Records = mine
-		_ = g.n.control.pool.Call(addr, "Sync", req, &control.SyncReply{}, timeout)
+	if len(mine) == 0 {
+		return answer, nil
 	}
-	return true
+	req.Records = mine
+	return answer, g.n.control.pool.Call(t.Addr, "Sync", req, &control.SyncReply{}, t.Timeout)
 }
 
-// metForeign takes in what a node of another failure domain knows of this one.
-func (g *gossiper) metForeign(addr string, reply *control.SyncReply) bool {
-	g.n.control.learnDomain(reply.Domain, addr)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.seeds = reply.Seeds
-	g.foreign++
-	if pickOther(g.seeds, g.n.opt.AdvertiseControl) == "" || g.members() > 0 || g.foreign >= foreignEnough {
-		g.joined.Store(true)
-	}
-	return g.joined.Load()
-}
-
-func (g *gossiper) young() bool { return g.n.clock() < youngFor }
-
-// members returns how many other members of the failure domain are known.
-func (g *gossiper) members() int { return len(g.n.view.Load().members) }
-
-// syncTarget returns a random member, or, now and then and always while there
-// is none, an address from the settings or one that another domain named: so
-// two halves that lost each other meet again.
-func (g *gossiper) syncTarget(round int) string {
+// see tells the discovery which members take part.
+func (g *gossiper) see(v *view) {
 	var alive []string
-	for _, m := range g.n.view.Load().members {
-		if m.alive() {
-			alive = append(alive, m.Addr)
-		}
-	}
-	first := append(append([]string(nil), g.n.bootstrap()...), g.seeds...)
-	every := bootstrapEvery
-	if g.young() {
-		every = 2
-	}
-	if len(alive) == 0 || round%every == 0 {
-		if addr := pickOther(first, g.n.opt.AdvertiseControl); addr != "" {
-			return addr
+	for i := range v.members {
+		if v.members[i].alive() {
+			alive = append(alive, v.members[i].Addr)
 		}
 	}
-	return pickOther(alive, g.n.opt.AdvertiseControl)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.finder.See(alive)
 }
 
-// pickOther returns a random address that is not self, or "".
-func pickOther(addrs []string, self string) string {
-	var others []string
-	for _, a := range addrs {
-		if a != self {
-			others = append(others, a)
-		}
-	}
-	if len(others) == 0 {
-		return ""
-	}
-	return others[rand.IntN(len(others))]
-}
+func (g *gossiper) young() bool { return discovery.Young(g.n.clock()) }
 
 // meta is what this node says of itself.
 func (n *Node) meta() *member.Meta {
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -132,6 +132,7 @@
 	v.replicas = t.replicas()
 	t.n.watchReplicas(v.replicas)
 	t.n.view.Store(v)
+	t.n.gossip.see(v)
 	next := t.routes()
 	next.Follow(t.n.routes.Load(), t.n.clock())
 	t.n.routes.Store(next)
