--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"github.com/umberthread/umberthread/internal/codec"
@@ -21,7 +22,8 @@
 
 // scan ends suspicions and forgets members that are long dead.
 func (c *Core) scan(now time.Duration) {
-	for id, s := range c.members {
+	for _, id := range slices.Clone(c.order) {
+		s := c.members[id]
 		age := now - s.since
 		switch {
 		case s.Status == Suspect && age >= c.opt.Suspicion:
