Hold a member dead at whose address another process answers

Cause, found while looking for other places where a process that is gone is not told from the one that came back: an ack counted for the member that was probed, whoever sent it. A process that restarted within the two or three seconds that suspicion takes answered for its predecessor, which stayed alive for good: counted as a member, routed to with what it had said of itself, and, being one of the members that link its domain, a link that nobody serves.

--- a/gossip/core.go
+++ b/gossip/core.go
@@ -78,10 +78,13 @@
 
 // Packet is one datagram between members.
 type Packet struct {
-	Kind    Kind
-	From    string
-	Seq     uint64
-	Target  string
+	Kind Kind
+	From string
+	Seq  uint64
+	// Target is, in a PingFor, the address to probe.
+	Target string
+	// By is, in an Ack that is passed on, the id of the member that answered.
+	By      string
 	Records []Record
 	// Config is the version of the settings that the sender has; the core
 	// only carries it.
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -222,3 +222,34 @@
 		c.Tick(time.Second)
 	})
 }
+
+// TestAMemberReplacedAtItsAddressIsDead: a process restarts faster than it takes to
+// suspect it. Its successor answers at the same address, under another identity, and
+// must not pass for the one before, which would stay alive for good.
+func TestAMemberReplacedAtItsAddressIsDead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(10, 1)
+	w.run(5 * time.Second)
+	w.cores["n003"] = New(Member{ID: "n003-again", Addr: "n003"}, options(w.rng))
+	w.sync("n003", "n001")
+	w.run(5 * time.Second)
+	for _, id := range w.ids {
+		if id == "n003" {
+			continue
+		}
+		g.Expect(w.statusOf(id, "n003")).To(gomega.Equal(Dead), id)
+		g.Expect(w.statusOf(id, "n003-again")).To(gomega.Equal(Alive), id)
+	}
+}
+
+// TestASuccessorThatIsAskedThroughOthersDoesNotPassForItsPredecessor: the direct
+// probe is lost on the way; who is asked to probe passes on who answered.
+func TestASuccessorThatIsAskedThroughOthersDoesNotPassForItsPredecessor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(3, 1)
+	w.run(5 * time.Second)
+	w.cores["n002"] = New(Member{ID: "n002-again", Addr: "n002"}, options(w.rng))
+	w.cut["n000n002"] = true
+	w.run(5 * time.Second)
+	g.Expect(w.statusOf("n000", "n002")).To(gomega.Equal(Dead))
+}
--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -133,7 +133,7 @@
 		c.relays[c.seq] = relay{addr, p.Seq, now + c.opt.Period}
 		c.send(p.Target, Packet{Kind: Ping, Seq: c.seq})
 	case Ack:
-		c.ack(p)
+		c.ack(now, p)
 	}
 }
 
@@ -147,14 +147,25 @@
 	c.outs = append(c.outs, Out{addr, Packet{Kind: Ack, From: c.self.ID, Records: []Record{memberRecord(s.Member)}}})
 }
 
-func (c *Core) ack(p Packet) {
+func (c *Core) ack(now time.Duration, p Packet) {
+	by := p.By
+	if by == "" {
+		by = p.From
+	}
 	if r, ok := c.relays[p.Seq]; ok {
 		delete(c.relays, p.Seq)
-		c.send(r.addr, Packet{Kind: Ack, Seq: r.seq})
+		c.send(r.addr, Packet{Kind: Ack, Seq: r.seq, By: by})
 		return
 	}
-	if c.probe != nil && c.probe.seq == p.Seq {
-		c.probe = nil
+	if c.probe == nil || c.probe.seq != p.Seq {
+		return
+	}
+	s := c.members[c.probe.id]
+	c.probe = nil
+	if s != nil && by != s.ID && s.Status != Dead {
+		// Another process answers at the member's address, so the member has ended.
+		// Else it would stay alive for good, and its successor be counted twice.
+		c.setStatus(now, s, Dead)
 	}
 }
 
