Leave lost members that still answer alone for a round; series of planned stops

A member that leaves no longer takes part but answers until it ends; its domain asked it ten times a second meanwhile. An address that answered is looked at once a round.

--- a/discovery/fleet_test.go
+++ b/discovery/fleet_test.go
@@ -207,6 +207,9 @@
 func (p *process) see() {
 	var v View
 	for _, m := range p.members {
+		if m.Status == gossip.Leaving {
+			continue
+		}
 		v.Alive = append(v.Alive, m.Addr)
 		if isReplica(m.Addr) {
 			v.Replicas = append(v.Replicas, m.Addr)
--- a/discovery/look.go
+++ b/discovery/look.go
@@ -18,7 +18,7 @@
 
 // looking tells whether there is an address to look at.
 func (c *Core) looking() bool {
-	return len(c.lostMembers) > 0 || len(c.replicaAddrs()) > 0
+	return len(c.memberAddrs()) > 0 || len(c.replicaAddrs()) > 0
 }
 
 // sought tells whether an address may be looked at, now or once no replica is
@@ -33,7 +33,7 @@
 // is known the one that was looked at longest ago. Lost members and lost replicas
 // take turns, so that a rack of lost members does not hold up the replicas.
 func (c *Core) look(now time.Duration, targets map[string]time.Duration) {
-	lists := [2][]string{slices.Sorted(maps.Keys(c.lostMembers)), c.replicaAddrs()}
+	lists := [2][]string{c.memberAddrs(), c.replicaAddrs()}
 	first, second := lists[c.looks%2], lists[(c.looks+1)%2]
 	addr := c.longestAgo(first)
 	if addr == "" {
@@ -43,6 +43,13 @@
 	targets[addr] = lookTimeout
 }
 
+// memberAddrs returns where lost members may be. One that answers, as it is still
+// leaving, is left alone until the next round.
+func (c *Core) memberAddrs() []string {
+	addrs := slices.Sorted(maps.Keys(c.lostMembers))
+	return slices.DeleteFunc(addrs, func(a string) bool { return c.answered[a] })
+}
+
 // replicaAddrs returns where replicas of the settings may be, while none is
 // known: where one was, and the addresses from the settings. What answers there
 // and is no replica is left alone until the next round.
--- a/discovery/reunion_test.go
+++ b/discovery/reunion_test.go
@@ -124,6 +124,29 @@
 	}
 }
 
+// TestReplicasThatWereStoppedTogetherAreMetSoon: all replicas stop as planned. They
+// have said that they leave, and are held to be leaving for half a minute.
+func TestReplicasThatWereStoppedTogetherAreMetSoon(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var took []time.Duration
+	for seed := range uint64(series) {
+		r := newReunion(seed)
+		r.run(8*time.Second + time.Duration(r.rng.Int64N(int64(10*time.Second))))
+		for _, addr := range r.replicas {
+			r.at[addr].gossip.Leave()
+			r.at[addr].gossip.Nudge(2 * simNudges)
+			r.at[addr].work()
+		}
+		r.run(time.Second)
+		down := 3*time.Second + time.Duration(r.rng.Int64N(int64(9*time.Second)))
+		took = append(took, r.lose(power, down, 2))
+	}
+	slices.Sort(took)
+	t.Logf("stopped: %s", distribution(took))
+	g.Expect(quantile(took, 0.99)).To(gomega.BeNumerically("<=", reunionUsual))
+	g.Expect(took[len(took)-1]).To(gomega.BeNumerically("<=", reunionDue))
+}
+
 func quantile(sorted []time.Duration, q float64) time.Duration {
 	return sorted[int(q*float64(len(sorted)-1))]
 }
