Send a control message again where a kept connection had been closed

Change: a call on a kept connection that turns out to be closed is sent once more, on a new one, within the same time. All methods are idempotent.

Test: fails before at the first restart (connection is shut down); 50 runs pass, of 20 restarts each.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -200,12 +200,27 @@
 }
 
 // Call calls a method of the node at addr. A connection that does not answer
-// in time is closed: it may have gone silent for good, while a new one works.
+// in time is closed: it may have gone silent for good, while a new one works. One
+// that was kept and turns out to be closed led to a process that has ended, which
+// says nothing of the one that stands there now: the call is sent again, once, on a
+// new connection. That is safe, as all methods are idempotent.
 func (p *Pool) Call(addr, method string, args, reply any, timeout time.Duration) error {
-	c, err := p.get(addr, timeout)
-	if err != nil {
-		return fault.Wrap(fault.PeerLost, err, "cannot connect to "+addr)
+	deadline := time.Now().Add(timeout)
+	for first := true; ; first = false {
+		c, kept, err := p.get(addr, time.Until(deadline))
+		if err != nil {
+			return fault.Wrap(fault.PeerLost, err, "cannot connect to "+addr)
+		}
+		closed, err := p.callOn(c, addr, method, args, reply, time.Until(deadline))
+		if !closed || !kept || !first {
+			return err
+		}
 	}
+}
+
+// callOn calls over one connection. It tells whether the connection turned out to
+// be closed.
+func (p *Pool) callOn(c *pooled, addr, method string, args, reply any, timeout time.Duration) (closed bool, err error) {
 	defer p.release(c)
 	call := c.client.Go(Service+"."+method, args, reply, make(chan *rpc.Call, 1))
 	t := time.NewTimer(timeout)
@@ -213,32 +228,34 @@
 	select {
 	case <-call.Done:
 		if call.Error == nil {
-			return nil
+			return false, nil
 		}
 		if _, ok := call.Error.(rpc.ServerError); !ok {
+			closed = true
 			p.drop(addr, c)
 		}
-		return fault.Wrap(fault.PeerLost, call.Error, method+" at "+addr).Unknown()
+		return closed, fault.Wrap(fault.PeerLost, call.Error, method+" at "+addr).Unknown()
 	case <-t.C:
 		p.drop(addr, c)
-		return fault.New(fault.PeerSilent, "no answer to "+method+" from "+addr).Unknown()
+		return false, fault.New(fault.PeerSilent, "no answer to "+method+" from "+addr).Unknown()
 	}
 }
 
-func (p *Pool) get(addr string, timeout time.Duration) (*pooled, error) {
+// get returns the connection to addr; kept tells whether it was there before.
+func (p *Pool) get(addr string, timeout time.Duration) (c *pooled, kept bool, err error) {
 	if c := p.take(addr, nil); c != nil {
-		return c, nil
+		return c, true, nil
 	}
 	conn, err := p.dial(addr, timeout)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	fresh := &pooled{client: rpc.NewClient(Counted{conn, p.counter})}
-	c := p.take(addr, fresh)
+	c = p.take(addr, fresh)
 	if c != fresh {
 		_ = fresh.client.Close()
 	}
-	return c, nil
+	return c, c != fresh, nil
 }
 
 // take returns the connection to addr, counting a call on it. If there is none
