Take the version that the asking side of a comparison has as news

Cause: a comparison of records carries both sides' versions of the settings, but only the one that asks looked at the other's. A replica that has returned and asks a node told it nothing; the node heard with the next packet.

Test: fails before (nothing within 5 s, as no packet comes), passes after.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -95,15 +95,6 @@
 	return out
 }
 
-// learnDomain remembers an address in another failure domain.
-func (s *controlServer) learnDomain(domain, addr string) {
-	s.links.mu.Lock()
-	defer s.links.mu.Unlock()
-	if s.links.learned[domain] == "" {
-		s.links.learned[domain] = addr
-	}
-}
-
 // controlAPI are the methods that net/rpc serves.
 type controlAPI struct{ n *Node }
 
@@ -112,6 +103,7 @@
 	n := a.n
 	reply.Domain = n.opt.Domain
 	reply.Config = n.conf.Load().version
+	n.gossip.heard(bySync, req.Addr, req.Config)
 	if req.Domain != n.opt.Domain {
 		reply.Seeds = n.control.askers.others(req.Domain, req.Addr, n.view.Load().domains[req.Domain].control)
 		return nil
--- a/internal/node/fetch_test.go
+++ b/internal/node/fetch_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/settings"
 )
 
@@ -33,3 +34,15 @@
 	g.Expect(fetchWait(2)).To(gomega.Equal(2 * fetchFirst))
 	g.Expect(fetchWait(100)).To(gomega.Equal(fetchTimeout))
 }
+
+// TestComparingRecordsTellsBothSides: the one that asks has newer settings, as a
+// replica has that has just returned. The one that is asked fetches them at once.
+func TestComparingRecordsTellsBothSides(t *testing.T) {
+	g := gomega.NewWithT(t)
+	old, ahead := startNode(t, "a", nil, nil), startNode(t, "b", nil, nil)
+	ahead.takeFull(7, settings.Entries{"#deadline": "4s"})
+	var reply control.SyncReply
+	req := &control.SyncRequest{Addr: ahead.opt.Control, Domain: "b", Config: 7}
+	g.Expect((&controlAPI{old.Node}).Sync(req, &reply)).To(gomega.Succeed())
+	g.Eventually(func() uint64 { return old.conf.Load().version }, 5*time.Second, 5*time.Millisecond).Should(gomega.Equal(uint64(7)))
+}
