Seek a cut-off domain also where it was met otherwise

Cause, of the same class: a domain is linked through the addresses of its linking members. Where those of both sides were replaced during a cut, each side asked addresses that nobody has any more, for good; what a later comparison with an address from the settings brought was not used, as the old ones went first.

Change: a domain that is cut off is also asked at the last address at which it was met.

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -110,24 +112,49 @@
 	wg.Wait()
 }
 
-// linkTargets returns an address in each other domain that is known.
+// linkTargets returns an address in each domain that is known.
 func (n *Node) linkTargets() map[string]string {
-	l := n.control.links
-	out := map[string]string{}
+	out := n.control.links.targets(n.view.Load().domains)
+	out[n.opt.Domain] = n.opt.AdvertiseControl
+	return out
+}
+
+// targets returns an address in each other domain that is known: of one of its
+// linking members, or, where it is cut off, now and then the last at which it was
+// met otherwise, as all its linking members may have been replaced meanwhile.
+func (l *links) targets(domains map[string]domainView) map[string]string {
 	l.mu.Lock()
-	for domain, addr := range l.learned {
-		out[domain] = addr
-	}
-	l.mu.Unlock()
-	for domain, d := range n.view.Load().domains {
-		if len(d.control) > 0 {
-			out[domain] = d.control[rand.IntN(len(d.control))]
+	defer l.mu.Unlock()
+	out := maps.Clone(l.learned)
+	for domain, d := range domains {
+		addrs := slices.Clone(d.control)
+		if met, ok := l.learned[domain]; ok && !d.reachable {
+			addrs = append(addrs, met)
+		}
+		if len(addrs) > 0 {
+			out[domain] = addrs[rand.IntN(len(addrs))]
 		}
 	}
-	out[n.opt.Domain] = n.opt.AdvertiseControl
 	return out
 }
 
+// learn remembers an address in another failure domain that somebody told of, if
+// none is known.
+func (l *links) learn(domain, addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.learned[domain] == "" {
+		l.learned[domain] = addr
+	}
+}
+
+// meet remembers the address at which another failure domain was met last.
+func (l *links) meet(domain, addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.learned[domain] = addr
+}
+
 // domainsFor returns the failure domains to tell a node that knows so many.
 func (n *Node) domainsFor(known int) (own int, tell map[string]string) {
 	all := n.linkTargets()
@@ -141,7 +168,7 @@
 func (n *Node) learnDomains(domains map[string]string) {
 	for domain, addr := range domains {
 		if domain != n.opt.Domain {
-			n.control.learnDomain(domain, addr)
+			n.control.links.learn(domain, addr)
 		}
 	}
 }
--- a/internal/node/links_test.go
+++ b/internal/node/links_test.go
@@ -61,3 +61,24 @@
 	all, _ := l.unsent("p", now)
 	g.Expect(all).To(gomega.HaveLen(1))
 }
+
+// TestACutOffDomainIsSoughtWhereverItWasMet: the members that linked it have all
+// been replaced during the cut. An address at which it was met otherwise is asked as
+// well, and the last such address counts.
+func TestACutOffDomainIsSoughtWhereverItWasMet(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := newLinks()
+	l.learn("b", "told:1")
+	l.meet("b", "met:1")
+	l.learn("b", "told:2")
+	for _, reachable := range []bool{true, false} {
+		domains := map[string]domainView{"b": {reachable: reachable, control: []string{"gone:1"}}}
+		asked := map[string]bool{}
+		for range 200 {
+			asked[l.targets(domains)["b"]] = true
+		}
+		g.Expect(asked).To(gomega.HaveKey("gone:1"))
+		g.Expect(asked["met:1"]).To(gomega.Equal(!reachable))
+		g.Expect(asked).To(gomega.HaveLen(map[bool]int{true: 1, false: 2}[reachable]))
+	}
+}
