--- a/discovery/fleet_test.go
+++ b/discovery/fleet_test.go
@@ -57,8 +57,9 @@
 	seq   int
 	at    map[string]*process
 	seeds []string
-	// cut are the addresses that nobody reaches.
-	cut map[string]bool
+	// cut are the addresses that nobody reaches, and apart the failure domains
+	// that are cut off from the others.
+	cut, apart map[string]bool
 	// looks counts the comparisons that were begun.
 	looks int
 }
@@ -80,7 +81,7 @@
 }
 
 func newFleet(seed uint64) *fleet {
-	return &fleet{rng: rand.New(rand.NewPCG(seed, 11)), at: map[string]*process{}, cut: map[string]bool{}}
+	return &fleet{rng: rand.New(rand.NewPCG(seed, 11)), at: map[string]*process{}, cut: map[string]bool{}, apart: map[string]bool{}}
 }
 
 func (f *fleet) after(d time.Duration, run func()) {
@@ -135,7 +136,11 @@
 	if p.f.cut[p.addr] || p.f.cut[addr] {
 		return nil
 	}
-	return p.f.at[addr]
+	q := p.f.at[addr]
+	if q != nil && q.domain != p.domain && (p.f.apart[p.domain] || p.f.apart[q.domain]) {
+		return nil
+	}
+	return q
 }
 
 // call runs a remote call: serve at the process at addr, then reply here; lost
