Soak: end every run with the loss of all replicas, and judge the settings after it

Why the soak missed the incident: no step took all replicas, none lasted longer than it takes to hold a node dead, and settings had nine seconds at the end of a run.

--- a/cmd/umberbench/soak.go
+++ b/cmd/umberbench/soak.go
@@ -63,8 +63,8 @@
 
 // printSoak prints a report; true if nothing is broken.
 func printSoak(rep *soak.Report) bool {
-	fmt.Printf("seed %d: %d steps, %d attempts, %d served, %d refused, %d changes, recovered after %s\n",
-		rep.Seed, len(rep.Steps), rep.Attempts, rep.Served, rep.Refused, rep.Changes, rep.Recovered.Round(10*time.Millisecond))
+	fmt.Printf("seed %d: %d steps, %d attempts, %d served, %d refused, %d changes, recovered after %s, in force %s after the return of all replicas\n",
+		rep.Seed, len(rep.Steps), rep.Attempts, rep.Served, rep.Refused, rep.Changes, rep.Recovered.Round(10*time.Millisecond), rep.InForce.Round(time.Millisecond))
 	if len(rep.Broken) == 0 {
 		return true
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,6 +49,9 @@
 	Changes int
 	// Recovered is how long after the last step all requests were served.
 	Recovered time.Duration
+	// InForce is how long a change took that was made after all replicas had been
+	// lost and had returned, from its acceptance to being in force on every node.
+	InForce time.Duration
 	// Folder has the logs; it is removed if nothing is broken.
 	Folder string
 }
@@ -112,10 +115,11 @@
 	if err != nil {
 		r.broke("recovery", "not all is served %s after the last step: %v", recoverWithin, err)
 	}
+	inForce := r.loseReplicas()
 	stop()
 	load.Wait()
 	r.checkAll()
-	rep := &Report{Seed: r.opt.Seed, Steps: steps, Recovered: recovered, Folder: r.fleet.Dir, Broken: r.broken, Changes: len(r.operators.accepted())}
+	rep := &Report{Seed: r.opt.Seed, Steps: steps, Recovered: recovered, InForce: inForce, Folder: r.fleet.Dir, Broken: r.broken, Changes: len(r.operators.accepted())}
 	for _, a := range r.callers.taken() {
 		rep.Attempts++
 		switch {
