--- a/discovery/core.go
+++ b/discovery/core.go
@@ -129,7 +129,6 @@
 	lose(now, c.lostMembers, c.view.Alive, v.Alive)
 	lose(now, c.lostReplicas, c.view.Replicas, v.Replicas)
 	c.view = v
-	maps.DeleteFunc(c.tried, func(addr string, _ time.Duration) bool { return !c.sought(addr) })
 	if !looking {
 		// The members that lose somebody together look at different times.
 		c.nextLook = now + time.Duration(c.opt.Rand.Float64()*float64(c.lookPeriod()))
@@ -144,7 +143,6 @@
 	for _, addr := range after {
 		delete(lost, addr)
 	}
-	maps.DeleteFunc(lost, func(_ string, since time.Duration) bool { return now-since >= forgetLost })
 }
 
 // Joined tells whether the node has met its failure domain, or may take itself
--- a/discovery/look.go
+++ b/discovery/look.go
@@ -18,9 +18,21 @@
 
 // looking tells whether there is an address to look at.
 func (c *Core) looking() bool {
-	return len(c.memberAddrs()) > 0 || len(c.replicaAddrs()) > 0
+	return c.Lost() > 0
 }
 
+// forget gives up on what was lost long ago.
+func (c *Core) forget(now time.Duration) {
+	long := func(_ string, since time.Duration) bool { return now-since >= forgetLost }
+	maps.DeleteFunc(c.lostMembers, long)
+	maps.DeleteFunc(c.lostReplicas, long)
+	maps.DeleteFunc(c.tried, func(addr string, _ time.Duration) bool { return !c.sought(addr) })
+}
+
+// Lost returns how many addresses are looked at, as nobody answers there as far as
+// is known.
+func (c *Core) Lost() int { return len(c.memberAddrs()) + len(c.replicaAddrs()) }
+
 // sought tells whether an address may be looked at, now or once no replica is
 // known.
 func (c *Core) sought(addr string) bool {
@@ -33,12 +45,16 @@
 // is known the one that was looked at longest ago. Lost members and lost replicas
 // take turns, so that a rack of lost members does not hold up the replicas.
 func (c *Core) look(now time.Duration, targets map[string]time.Duration) {
+	c.forget(now)
 	lists := [2][]string{c.memberAddrs(), c.replicaAddrs()}
 	first, second := lists[c.looks%2], lists[(c.looks+1)%2]
 	addr := c.longestAgo(first)
 	if addr == "" {
 		addr = c.longestAgo(second)
 	}
+	if addr == "" {
+		return
+	}
 	c.tried[addr] = now
 	targets[addr] = lookTimeout
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -76,7 +76,9 @@
 	Heard  uint64 `json:"config_heard_version"`
 	LateMs int64  `json:"config_late_ms"`
 	// Replicas is how many replicas the node knows.
-	Replicas int           `json:"replicas_known"`
+	Replicas int `json:"replicas_known"`
+	// Lost is how many addresses the node looks at, as nobody has answered there.
+	Lost     int           `json:"addresses_lost"`
 	Backend  BackendStatus `json:"backend"`
 	State    string        `json:"state"`
 	Members  int           `json:"members"`
@@ -139,7 +141,7 @@
 	v := n.view.Load()
 	s := Status{
 		ID: n.id, Name: n.opt.Name, Domain: n.opt.Domain, UptimeMs: n.clock().Milliseconds(),
-		Config: n.conf.Load().version, Heard: n.gossip.highest.Load(), LateMs: n.news.last().Milliseconds(), Replicas: len(v.replicas), Backend: n.backendStatus(), State: nodeChart.Text(n.life.get()),
+		Config: n.conf.Load().version, Heard: n.gossip.highest.Load(), LateMs: n.news.last().Milliseconds(), Replicas: len(v.replicas), Lost: n.gossip.lost(), Backend: n.backendStatus(), State: nodeChart.Text(n.life.get()),
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.served.Load(), Calls: n.stats.calls.Load(),
 		Retries: n.stats.retries.Load(), Refusals: n.stats.bySlug(), Cut: n.stats.cut.Load(),
 		Silent: n.peers.silent(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.dropped(),
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -376,6 +376,13 @@
 	}
 }
 
+// lost returns how many addresses are looked at.
+func (g *gossiper) lost() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.finder.Lost()
+}
+
 func (g *gossiper) young() bool { return discovery.Young(g.n.clock()) }
 
 // meta is what this node says of itself.
