--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"expvar"
+	"io"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -398,6 +399,9 @@
 	writeJSON(w, n.Status())
 }
 
+// WriteLatencies writes the histograms of the requests of callers as text.
+func (n *Node) WriteLatencies(w io.Writer) { n.latencies.Write(w) }
+
 // serveVars shows expvar's variables and this node's, under one name, so that
 // several nodes can live in one test process.
 func (n *Node) serveVars(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -11,6 +11,7 @@
 	"github.com/umberthread/umberthread/admission"
 	"github.com/umberthread/umberthread/budget"
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/pathlevel"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/rank"
 	"github.com/umberthread/umberthread/route"
@@ -135,7 +136,7 @@
 	if c.depth > 0 {
 		return 0
 	}
-	return n.entered.level(c.root, n.clock())
+	return n.entered.Level(c.root, n.clock())
 }
 
 // badAnswer tells whether a backend server's answer is a failure that another
@@ -148,7 +149,7 @@
 }
 
 // pathsOf returns where the levels that the call's answers report belong.
-func (n *Node) pathsOf(c *call) *paths {
+func (n *Node) pathsOf(c *call) *pathlevel.Table {
 	if c.depth > 0 {
 		return &n.nested
 	}
@@ -158,7 +159,7 @@
 // levelBelow is the highest of own, the level of the backend server beside this
 // node, and those that requests of the call's root kind reach through it.
 func (n *Node) levelBelow(c *call, own rank.Level) rank.Level {
-	return max(own, n.nested.level(c.root, n.clock()))
+	return max(own, n.nested.Level(c.root, n.clock()))
 }
 
 // baselineRetries is how often each hop retries under the baseline policies.
@@ -276,7 +277,7 @@
 	if in.ID == n.id {
 		a, ferr := n.runLocal(c, c.pool)
 		report := n.localReport(a, ferr)
-		n.pathsOf(c).observe(c.root, c.service, n.levelBelow(c, report.Level), n.clock())
+		n.pathsOf(c).Observe(c.root, c.service, n.levelBelow(c, report.Level), n.clock())
 		in.Seen.End(n.clock(), report, n.eject(c))
 		return a, in, ferr
 	}
@@ -370,7 +371,7 @@
 	}
 	r := &wa.Reply
 	c.pool.Settle(lease, int(r.Spent))
-	n.pathsOf(c).observe(c.root, c.service, r.PathLevel, n.clock())
+	n.pathsOf(c).Observe(c.root, c.service, r.PathLevel, n.clock())
 	a := &answer{status: int(r.Status), header: r.Header, length: r.BodyLen, body: wa.Body, close: wa.Close}
 	var ferr *fault.Error
 	if r.Code != fault.None {
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/umberthread/umberthread/admission"
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/pathlevel"
 	"github.com/umberthread/umberthread/rank"
 )
 
@@ -24,9 +25,9 @@
 	seq  int
 	deep []*deepServer
 
-	entries [modelEntries]paths
+	entries [modelEntries]pathlevel.Table
 	// between are the nodes of the services between, a few for each.
-	between [modelServices][modelPeers]paths
+	between [modelServices][modelPeers]pathlevel.Table
 
 	// from and until are when requests that are counted begin; until is 0 while
 	// it is not known.
@@ -168,7 +169,7 @@
 			m.asked[r.kind]++
 		}
 	}
-	l := m.entries[r.entry].level(modelNames[r.kind], m.now)
+	l := m.entries[r.entry].Level(modelNames[r.kind], m.now)
 	if !l.Admits(r.rank, 0) {
 		m.refuse(r, comeBackMean(l))
 		return
@@ -272,21 +273,21 @@
 	s.guard.Tick(m.now)
 	l := s.guard.Level()
 	if r.kind != modelRead {
-		m.between[modelServices-1][r.way[modelServices-1]].observe(root, "deep", l, m.now)
+		m.between[modelServices-1][r.way[modelServices-1]].Observe(root, "deep", l, m.now)
 	}
 	if r.calls--; r.calls > 0 && code == fault.None {
 		m.call(r)
 		return
 	}
 	if r.kind != modelRead {
-		l = m.between[modelServices-1][r.way[modelServices-1]].level(root, m.now)
+		l = m.between[modelServices-1][r.way[modelServices-1]].Level(root, m.now)
 		for i := modelServices - 2; i >= 0; i-- {
 			p := &m.between[i][r.way[i]]
-			p.observe(root, "next", l, m.now)
-			l = p.level(root, m.now)
+			p.Observe(root, "next", l, m.now)
+			l = p.Level(root, m.now)
 		}
 	}
-	m.entries[r.entry].observe(root, "first", l, m.now)
+	m.entries[r.entry].Observe(root, "first", l, m.now)
 	if code != fault.None && modelClass[r.kind] != rank.Protected && !r.returned {
 		// A caller whose request may be repeated comes back at once.
 		r.returned = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,8 @@
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/callers"
 	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/internal/latency"
+	"github.com/umberthread/umberthread/internal/pathlevel"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/member"
 	"github.com/umberthread/umberthread/route"
@@ -51,7 +53,7 @@
 	// the calls that the backend server beside this node makes. They must be
 	// apart: what is reported to the nodes above is only what lies below, or
 	// two nodes would go on telling each other of an overload that is over.
-	entered, nested paths
+	entered, nested pathlevel.Table
 	peers           peers
 	kinds           kindTable
 	retryShares     sync.Map // service -> *budget.Share
@@ -79,7 +81,7 @@
 
 	news      news
 	stats     stats
-	latencies latencies
+	latencies latency.Table
 	// requestLog bounds the lines about requests.
 	requestLog requestLog
 	overload   atomic.Pointer[overload]
@@ -435,7 +437,7 @@
 // objective of its kind if it entered here.
 func (n *Node) record(c *call, code fault.Code, run fault.Run) {
 	took := time.Since(c.started)
-	n.latencies.observe(c, code, took)
+	n.latencies.Observe(c.rank.Class().String(), code.String(), took)
 	if c.depth == 0 {
 		n.burn.Add(c.root, time.Now(), code == fault.None && took <= c.policy.ObjectiveWithin, code)
 	}
@@ -446,7 +448,7 @@
 	}
 	n.traces.add(Trace{
 		Time: time.Now(), RequestID: c.id, Target: c.target, Root: c.root, Rank: uint16(c.rank), Depth: c.depth,
-		Attempts: c.attempts, Spent: c.pool.Spent(), Level: uint16(n.entered.level(c.root, n.clock())),
+		Attempts: c.attempts, Spent: c.pool.Spent(), Level: uint16(n.entered.Level(c.root, n.clock())),
 		Reason: code.String(), Run: run.String(), TookUs: took.Microseconds(),
 	})
 }
--- a/internal/node/paths.go
+++ b/internal/pathlevel/pathlevel.go
@@ -1,4 +1,7 @@
-package node
+// Package pathlevel keeps the levels of the services that requests of each root
+// kind call, as a node learns them from answers. It is on the way of every request:
+// reading takes no lock, and what is written are atomic words.
+package pathlevel
 
 import (
 	"sync"
@@ -9,12 +12,13 @@
 	"github.com/umberthread/umberthread/route"
 )
 
-// paths remembers, per root kind, the admission levels of the services that
+// Table remembers, per root kind, the admission levels of the services that
 // requests of the kind call from this node, as their answers report them. The
 // highest is the level of the path: a request that does not pass it would be
 // refused further down, after work was done for it. A node learns only the
-// paths of the kinds that pass through it, whatever the size of the fleet.
-type paths struct {
+// paths of the kinds that pass through it, whatever the size of the fleet. It is safe for concurrent
+// use.
+type Table struct {
 	roots sync.Map // root scope -> *path
 }
 
@@ -41,11 +45,11 @@
 	edgeMemory = 200 * time.Millisecond
 )
 
-// observe takes in the path level that an answer of service reported.
-func (p *paths) observe(root, service string, l rank.Level, now time.Duration) {
-	v, ok := p.roots.Load(root)
+// Observe takes in the path level that an answer of service reported.
+func (t *Table) Observe(root, service string, l rank.Level, now time.Duration) {
+	v, ok := t.roots.Load(root)
 	if !ok {
-		v, _ = p.roots.LoadOrStore(root, &path{})
+		v, _ = t.roots.LoadOrStore(root, &path{})
 	}
 	e := v.(*path).edge(service)
 	old := rank.Level(e.level.Load())
@@ -60,9 +64,9 @@
 	e.at.Store(int64(now))
 }
 
-// level returns the level of the path of a root kind.
-func (p *paths) level(root string, now time.Duration) rank.Level {
-	v, ok := p.roots.Load(root)
+// Level returns the level of the path of a root kind, faded by its age.
+func (t *Table) Level(root string, now time.Duration) rank.Level {
+	v, ok := t.roots.Load(root)
 	if !ok {
 		return 0
 	}
