--- a/internal/node/links_test.go
+++ b/internal/links/links_test.go
@@ -1,4 +1,4 @@
-package node
+package links
 
 import (
 	"testing"
@@ -21,26 +21,26 @@
 // and a restart of the other side at the same address.
 func TestUnconfirmedSummariesAreSentAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l := newLinks()
+	l := New()
 	now := []member.Summary{summary("f/s", "1"), summary("f/t", "2")}
-	first, upTo := l.unsent("p", now)
+	first, upTo := l.Unsent("p", now)
 	g.Expect(first).To(gomega.HaveLen(2))
-	again, _ := l.unsent("p", now)
+	again, _ := l.Unsent("p", now)
 	g.Expect(again).To(gomega.HaveLen(2), "nothing was confirmed")
-	l.met("b", "addr", &control.ExchangeReply{ID: "p", Have: upTo})
-	none, _ := l.unsent(l.at("addr"), now)
+	l.Met("b", "addr", &control.ExchangeReply{ID: "p", Have: upTo})
+	none, _ := l.Unsent(l.At("addr"), now)
 	g.Expect(none).To(gomega.BeEmpty())
 
 	now[0] = summary("f/s", "1", "3")
-	changed, _ := l.unsent("p", now)
+	changed, _ := l.Unsent("p", now)
 	g.Expect(changed).To(gomega.HaveLen(1))
 
 	// Another process stands at the address now.
-	l.met("b", "addr", &control.ExchangeReply{ID: "q"})
-	all, _ := l.unsent(l.at("addr"), now)
+	l.Met("b", "addr", &control.ExchangeReply{ID: "q"})
+	all, _ := l.Unsent(l.At("addr"), now)
 	g.Expect(all).To(gomega.HaveLen(2))
 
-	gone, _ := l.unsent("q", now[:1])
+	gone, _ := l.Unsent("q", now[:1])
 	g.Expect(gone).To(gomega.HaveLen(2))
 	s, err := member.DecodeSummary(l.own[member.SummaryKey("a", "f/t")].Payload)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -51,14 +51,14 @@
 // nothing.
 func TestAskingProcessTellsWhatItHas(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l := newLinks()
+	l := New()
 	now := []member.Summary{summary("f/s", "1")}
-	_, upTo := l.unsent("p", now)
-	l.confirmed(&control.ExchangeRequest{ID: "p", Have: upTo, HaveOf: "me"}, "me")
-	none, _ := l.unsent("p", now)
+	_, upTo := l.Unsent("p", now)
+	l.Confirmed(&control.ExchangeRequest{ID: "p", Have: upTo, HaveOf: "me"}, "me")
+	none, _ := l.Unsent("p", now)
 	g.Expect(none).To(gomega.BeEmpty())
-	l.confirmed(&control.ExchangeRequest{ID: "p", Have: upTo, HaveOf: "before"}, "me")
-	all, _ := l.unsent("p", now)
+	l.Confirmed(&control.ExchangeRequest{ID: "p", Have: upTo, HaveOf: "before"}, "me")
+	all, _ := l.Unsent("p", now)
 	g.Expect(all).To(gomega.HaveLen(1))
 }
 
@@ -67,15 +67,15 @@
 // well, and the last such address counts.
 func TestACutOffDomainIsSoughtWhereverItWasMet(t *testing.T) {
 	g := gomega.NewWithT(t)
-	l := newLinks()
-	l.learn("b", "told:1")
-	l.meet("b", "met:1")
-	l.learn("b", "told:2")
+	l := New()
+	l.Learn("b", "told:1")
+	l.Meet("b", "met:1")
+	l.Learn("b", "told:2")
 	for _, reachable := range []bool{true, false} {
-		domains := map[string]domainView{"b": {reachable: reachable, control: []string{"gone:1"}}}
+		domains := map[string]Domain{"b": {Reachable: reachable, Control: []string{"gone:1"}}}
 		asked := map[string]bool{}
 		for range 200 {
-			asked[l.targets(domains)["b"]] = true
+			asked[l.Targets(domains)["b"]] = true
 		}
 		g.Expect(asked).To(gomega.HaveKey("gone:1"))
 		g.Expect(asked["met:1"]).To(gomega.Equal(!reachable))
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -150,7 +150,7 @@
 	c := &n.control.counter
 	s.Control = ControlBytes{n.stats.controlIn.Load() + c.In.Load(), n.stats.controlOut.Load() + c.Out.Load()}
 	for name, d := range v.domains {
-		s.Domains[name] = d.reachable
+		s.Domains[name] = d.Reachable
 	}
 	return s
 }
@@ -269,7 +269,7 @@
 		out.Kinds = append(out.Kinds, BurnKind{k, p.Class.String(), p.Objective})
 	}
 	for name, d := range n.view.Load().domains {
-		out.Domains[name] = d.reachable
+		out.Domains[name] = d.Reachable
 	}
 	writeJSON(w, out)
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/internal/links"
 )
 
 // controlServer serves the control messages of other nodes, over net/rpc.
@@ -16,7 +17,7 @@
 	n       *Node
 	pool    *control.Pool
 	counter control.Counter
-	links   *links
+	links   *links.State
 	askers  askers
 	rpc     *rpc.Server
 
@@ -26,7 +27,7 @@
 }
 
 func newControlServer(n *Node) *controlServer {
-	s := &controlServer{n: n, links: newLinks(), rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
+	s := &controlServer{n: n, links: links.New(), rpc: rpc.NewServer(), conns: map[net.Conn]struct{}{}}
 	s.pool = control.NewPool(&s.counter, func(addr string, timeout time.Duration) (net.Conn, error) { return n.dial(addr, timeout) })
 	if err := s.rpc.RegisterName(control.Service, &controlAPI{n}); err != nil {
 		// The methods are fixed at compile time.
@@ -105,7 +106,7 @@
 	reply.Config = n.conf.Load().version
 	n.gossip.heard(bySync, req.Addr, req.Config)
 	if req.Domain != n.opt.Domain {
-		reply.Seeds = n.control.askers.others(req.Domain, req.Addr, n.view.Load().domains[req.Domain].control)
+		reply.Seeds = n.control.askers.others(req.Domain, req.Addr, n.view.Load().domains[req.Domain].Control)
 		return nil
 	}
 	n.gossip.do(func() {
@@ -135,8 +136,8 @@
 		// Else the records assume what another process had.
 		reply.Have = req.UpTo
 	}
-	l.confirmed(req, n.id)
-	reply.Records, reply.UpTo = l.unsent(req.ID, n.summaries())
+	l.Confirmed(req, n.id)
+	reply.Records, reply.UpTo = l.Unsent(req.ID, n.summaries())
 	reply.Known, reply.Domains = n.domainsFor(req.Known)
 	n.learnDomains(req.Domains)
 	n.takeExchange(req.Domain, req.Control, req.Records)
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -333,7 +333,7 @@
 	answer := discovery.Answer{Domain: reply.Domain, Seeds: reply.Seeds}
 	g.heard(bySync, t.Addr, reply.Config)
 	if reply.Domain != g.n.opt.Domain {
-		g.n.control.links.meet(reply.Domain, t.Addr)
+		g.n.control.links.Meet(reply.Domain, t.Addr)
 		return answer, nil
 	}
 	var mine []gossip.Record
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -144,7 +144,7 @@
 		g.Expect(res.status).To(gomega.Equal(200), res.body)
 		time.Sleep(50 * time.Millisecond)
 	}
-	g.Eventually(func() bool { return cut.view.Load().domains["a"].reachable }, 10*time.Second).Should(gomega.BeFalse())
+	g.Eventually(func() bool { return cut.view.Load().domains["a"].Reachable }, 10*time.Second).Should(gomega.BeFalse())
 	// What it cannot do it refuses, and says truly that it was not run.
 	res := cut.call("suva/claims-hub/lodge", "", nil, map[string]string{HeaderKey: uuid.Must(uuid.NewV7()).String()})
 	g.Expect(res.problem().Reason).To(gomega.Equal("no-quorum"))
@@ -163,7 +163,7 @@
 	healed := time.Now()
 	cut.hasVersion(2)
 	t.Logf("settings caught up %s after the cut was healed", time.Since(healed).Round(time.Millisecond))
-	g.Eventually(func() bool { return cut.view.Load().domains["a"].reachable }, 10*time.Second).Should(gomega.BeTrue())
+	g.Eventually(func() bool { return cut.view.Load().domains["a"].Reachable }, 10*time.Second).Should(gomega.BeTrue())
 	cut.serves("suva/cover-desk", 3)
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/umberthread/umberthread/gossip"
+	"github.com/umberthread/umberthread/internal/links"
 	"github.com/umberthread/umberthread/member"
 	"github.com/umberthread/umberthread/raft"
 	"github.com/umberthread/umberthread/route"
@@ -17,16 +18,10 @@
 // swapped whole.
 type view struct {
 	members  []memberView
-	domains  map[string]domainView
+	domains  map[string]links.Domain
 	replicas []raft.Peer
 }
 
-// domainView is another failure domain as its linking members see it.
-type domainView struct {
-	reachable bool
-	control   []string
-}
-
 // memberView is a member of the own failure domain.
 type memberView struct {
 	gossip.Member
@@ -43,7 +38,7 @@
 	metas     map[string]*memberView
 	summaries map[string]member.Summary
 	links     map[string]member.Link
-	domains   map[string]domainView
+	domains   map[string]links.Domain
 	seen      map[string]*known
 }
 
@@ -58,7 +53,7 @@
 func newTables(n *Node) *tables {
 	return &tables{
 		n: n, metas: map[string]*memberView{}, summaries: map[string]member.Summary{}, links: map[string]member.Link{},
-		domains: map[string]domainView{}, seen: map[string]*known{},
+		domains: map[string]links.Domain{}, seen: map[string]*known{},
 	}
 }
 
@@ -98,23 +93,23 @@
 // refreshDomains works out which failure domains are cut off: those that none
 // of the linking members alive reaches.
 func (t *tables) refreshDomains() {
-	next := map[string]domainView{}
+	next := map[string]links.Domain{}
 	for key, l := range t.links {
 		if l.By != t.n.id && t.metas[l.By] == nil {
 			delete(t.links, key)
 			continue
 		}
 		d := next[l.Domain]
-		d.reachable = d.reachable || l.Reachable
-		d.control = append(d.control, l.Control...)
+		d.Reachable = d.Reachable || l.Reachable
+		d.Control = append(d.Control, l.Control...)
 		next[l.Domain] = d
 	}
 	for name, d := range next {
 		old, known := t.domains[name]
 		switch {
-		case known && old.reachable && !d.reachable:
+		case known && old.Reachable && !d.Reachable:
 			t.n.event("links", "Failure domain "+name+" is cut off.")
-		case known && !old.reachable && d.reachable:
+		case known && !old.Reachable && d.Reachable:
 			t.n.event("links", "Failure domain "+name+" is reachable again.")
 		}
 	}
@@ -163,7 +158,7 @@
 // reachable tells whether a failure domain is not cut off from this one.
 func (t *tables) reachable(domain string) bool {
 	d, known := t.domains[domain]
-	return !known || d.reachable
+	return !known || d.Reachable
 }
 
 func (t *tables) routes() *route.Snapshot {
