Let a domain that does not answer hold up no exchange with the others

A round of exchanges ended with its slowest, so a change that came while one waited for a silent domain (up to 600 ms) reached the other domains after it only.

Change: each domain has its own exchange; news that comes while one is under way is told by another right after it.

--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -41,6 +41,9 @@
 	failed  map[string]int
 	// known is how many failure domains the node at an address knows.
 	known map[string]int
+	// busy are the domains with an exchange under way; true if there is news since
+	// it began.
+	busy  map[string]bool
 	stamp uint64
 }
 
@@ -49,6 +52,7 @@
 	return &State{
 		own: map[string]gossip.Record{}, acked: map[string]uint64{}, have: map[string]uint64{},
 		process: map[string]string{}, learned: map[string]string{}, failed: map[string]int{}, known: map[string]int{},
+		busy: map[string]bool{},
 	}
 }
 
@@ -181,6 +185,32 @@
 	return l.known[id]
 }
 
+// Begin tells whether an exchange with a domain may begin: one at a time. While one
+// is under way another follows it, as there is news for it.
+func (l *State) Begin(domain string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, busy := l.busy[domain]; busy {
+		l.busy[domain] = true
+		return false
+	}
+	l.busy[domain] = false
+	return true
+}
+
+// End notes that an exchange has ended. It tells whether another is to follow, which
+// has then begun.
+func (l *State) End(domain string) (again bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.busy[domain] {
+		l.busy[domain] = false
+		return true
+	}
+	delete(l.busy, domain)
+	return false
+}
+
 // Failed notes that an exchange with a domain failed, and returns how often in a row.
 func (l *State) Failed(domain string) int {
 	l.mu.Lock()
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"sort"
-	"sync"
 	"time"
 
 	"github.com/umberthread/umberthread/gossip"
@@ -70,21 +69,21 @@
 	return ids, addrs
 }
 
-// exchangeAll talks to each other domain, all at once: one that is cut off
-// must not hold up the others.
+// exchangeAll talks to each other domain, without waiting: one that is cut off must
+// not hold up the others, nor what the next change has to tell them.
 func (n *Node) exchangeAll(own []string) {
-	var wg sync.WaitGroup
-	for domain, addr := range n.linkTargets() {
-		if domain == n.opt.Domain {
-			continue
+	for domain := range n.linkTargets() {
+		if domain != n.opt.Domain && n.control.links.Begin(domain) {
+			go n.exchangeWhileNews(domain, own)
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			n.exchange(domain, addr, own)
-		}()
 	}
-	wg.Wait()
+}
+
+// exchangeWhileNews exchanges with a domain until there is no news for it.
+func (n *Node) exchangeWhileNews(domain string, own []string) {
+	for again := true; again; again = n.control.links.End(domain) {
+		n.exchange(domain, n.linkTargets()[domain], own)
+	}
 }
 
 // linkTargets returns an address in each domain that is known.
