--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -311,6 +311,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
+		// Most addresses that are looked at do not answer: no line for each. How
+		// many there are is in the node's status.
 		g.finder.Failed(t.Addr)
 		return
 	}
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"sort"
 	"time"
 
@@ -36,21 +37,12 @@
 		case <-n.gossip.linkNow:
 		case <-time.After(period):
 		}
-		if ids, addrs := n.linkMembers(); contains(ids, n.id) {
+		if ids, addrs := n.linkMembers(); slices.Contains(ids, n.id) {
 			n.exchangeAll(addrs)
 		}
 	}
 }
 
-func contains(ids []string, id string) bool {
-	for _, v := range ids {
-		if v == id {
-			return true
-		}
-	}
-	return false
-}
-
 // linkMembers returns the ids and control addresses of the members that link
 // this failure domain, as this node sees it.
 func (n *Node) linkMembers() (ids, addrs []string) {
@@ -72,16 +64,18 @@
 // exchangeAll talks to each other domain, without waiting: one that is cut off must
 // not hold up the others, nor what the next change has to tell them.
 func (n *Node) exchangeAll(own []string) {
-	for domain := range n.linkTargets() {
+	for domain, addr := range n.linkTargets() {
 		if domain != n.opt.Domain && n.control.links.Begin(domain) {
-			go n.exchangeWhileNews(domain, own)
+			go n.exchangeWhileNews(domain, addr, own)
 		}
 	}
 }
 
-// exchangeWhileNews exchanges with a domain until there is no news for it.
-func (n *Node) exchangeWhileNews(domain string, own []string) {
-	for again := true; again; again = n.control.links.End(domain) {
+// exchangeWhileNews exchanges with a domain until there is no news for it, first
+// at addr.
+func (n *Node) exchangeWhileNews(domain, addr string, own []string) {
+	n.exchange(domain, addr, own)
+	for n.control.links.End(domain) {
 		n.exchange(domain, n.linkTargets()[domain], own)
 	}
 }
--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -12,8 +12,8 @@
 	outageLeast = 4 * time.Second
 	outageMost  = 8 * time.Second
 	// returnDue bounds the time from the acceptance of a change to its being in
-	// force on every node: two seconds, and one for a machine that is busy with
-	// some runs at once.
+	// force on every node: two seconds, and one for processors that some runs
+	// share.
 	returnDue = 3 * time.Second
 )
 
