Forget with the lead which replicas have answered

Cause, found by looking for the cause of the late settings elsewhere (what is remembered of a process that is gone stands in the way of the one that came back): a leader keeps which replicas answered it under which identity and address, and asks anew only while it leads. When it led again later, its first looks at the members, up to 0.5 s, went by the answers of its earlier lead: a member that had moved meanwhile would be moved back to its old address, and a voter at whose address another identity stood then would count as lost.

Change: the answers are dropped while the node leads no group.

The new test failed before (the answers stayed for good); 3 of 3 runs of it and of the tests of replicas and cuts are green after.

--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -167,22 +168,45 @@
 	cut.serves("suva/cover-desk", 3)
 }
 
+// awaitLeader waits until one of the nodes leads the group of the settings.
+func awaitLeader(t testing.TB, nodes []*testNode) *testNode {
+	t.Helper()
+	var leader *testNode
+	gomega.NewWithT(t).Eventually(func() bool {
+		i := slices.IndexFunc(nodes, func(n *testNode) bool { return n.replicas.groups[configGroup].leads.Load() })
+		if i >= 0 {
+			leader = nodes[i]
+		}
+		return i >= 0
+	}, 5*time.Second).Should(gomega.BeTrue())
+	return leader
+}
+
+// TestWhoAnsweredIsForgottenWithTheLead: a replica that led, and leads again later,
+// must not judge the members by who answered in its earlier lead. It would move a
+// member back to an address that it has left, or count a replaced disk as lost.
+func TestWhoAnsweredIsForgottenWithTheLead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := startReplicas(t, "a", "b", "c")
+	nw := newNetwork(nodes...)
+	old := awaitLeader(t, nodes)
+	g.Eventually(old.replicas.verified, 5*time.Second).ShouldNot(gomega.BeEmpty())
+	for _, n := range nodes {
+		if n != old {
+			nw.both(n, old, true)
+		}
+	}
+	g.Eventually(func() bool { return old.replicas.leadsAny() }, 5*time.Second).Should(gomega.BeFalse())
+	g.Eventually(old.replicas.verified, 5*time.Second).Should(gomega.BeEmpty())
+}
+
 // TestOneWayCutReplicaNeitherBlocksNorAnswers: the leader still sends to the
 // others but hears nothing of them.
 func TestOneWayCutReplicaNeitherBlocksNorAnswers(t *testing.T) {
 	g := gomega.NewWithT(t)
 	nodes := startReplicas(t, "a", "b", "c")
 	nw := newNetwork(nodes...)
-	leader := func() *testNode {
-		for _, n := range nodes {
-			if n.replicas.groups[configGroup].leads.Load() {
-				return n
-			}
-		}
-		return nil
-	}
-	g.Eventually(leader, 5*time.Second).ShouldNot(gomega.BeNil())
-	old := leader()
+	old := awaitLeader(t, nodes)
 	for _, n := range nodes {
 		if n != old {
 			nw.set(n, old, true)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -39,7 +39,8 @@
 	mu      sync.Mutex
 	senders map[string]*ring.Ring[outgoing]
 
-	// alive are the replicas that answered under their identity.
+	// alive are the replicas that answered under their identity to this leader, nil
+	// while it leads no group.
 	alive atomic.Pointer[[]raft.Peer]
 }
 
@@ -150,8 +151,14 @@
 	rounds := 0
 	r.n.every(verifySoon, func(time.Time) {
 		rounds++
+		if !r.leadsAny() {
+			// Who answered in an earlier lead may be gone in the next: a member
+			// would be moved back to an address that it has left.
+			r.alive.Store(nil)
+			return
+		}
 		due := r.changeDue()
-		if !r.leadsAny() || !due && rounds%int(verifyEvery/verifySoon) != 0 {
+		if !due && rounds%int(verifyEvery/verifySoon) != 0 {
 			return
 		}
 		told := r.n.view.Load().replicas
