Do not take a replica that answers at two addresses for moved

While a change of the members is due, the leader asks at both, and got the same identity from both.

Change: a member that answers at its address has not moved; a replica tells with its identity which address it tells others, and is known by that one.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -138,6 +138,9 @@
 type IdentityReply struct {
 	ID     string
 	Domain string
+	// Addr is the control address that it tells others, which may differ from the
+	// one that was asked; "" from an earlier release.
+	Addr string
 	// Formed tells whether it belongs to a group.
 	Formed bool
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -183,6 +183,7 @@
 
 // Identity tells what replica stands at this node.
 func (a *controlAPI) Identity(_ *control.Empty, reply *control.IdentityReply) error {
-	*reply = control.IdentityReply{ID: a.n.replicas.identity(), Domain: a.n.opt.Domain, Formed: a.n.replicas.formed()}
+	r, o := a.n.replicas, &a.n.opt
+	*reply = control.IdentityReply{ID: r.identity(), Domain: o.Domain, Addr: o.AdvertiseControl, Formed: r.formed()}
 	return nil
 }
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"errors"
 	"os"
 	"path/filepath"
@@ -200,7 +201,7 @@
 		asked[addr] = true
 		var reply control.IdentityReply
 		err := r.n.control.pool.Call(addr, "Identity", &control.Empty{}, &reply, verifySoon)
-		p := raft.Peer{ID: reply.ID, Addr: addr, Domain: reply.Domain}
+		p := raft.Peer{ID: reply.ID, Addr: cmp.Or(reply.Addr, addr), Domain: reply.Domain}
 		if err == nil && reply.ID != "" && !slices.Contains(told, p) {
 			out = append(out, p)
 		}
--- a/internal/node/replica_test.go
+++ b/internal/node/replica_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/umberthread/umberthread/internal/standin"
+	"github.com/umberthread/umberthread/raft"
 	"github.com/umberthread/umberthread/settings"
 )
 
@@ -157,3 +158,17 @@
 	other := nodes[0].call("suva/claims-hub/lodge", "", []byte("other"), map[string]string{HeaderKey: key})
 	g.Expect(other.problem().Reason).To(gomega.Equal("key-mismatch"))
 }
+
+// TestAReplicaIsKnownByTheAddressThatItTells: the settings name a replica by an
+// address that it does not tell the others, as behind a forwarder. It must not
+// enter the group under that address: the others reach it where it says.
+func TestAReplicaIsKnownByTheAddressThatItTells(t *testing.T) {
+	g := gomega.NewWithT(t)
+	told := freeAddr(t)
+	far := startNode(t, "b", nil, func(o *Options) {
+		o.DataFolder = t.TempDir()
+		o.AdvertiseControl = told
+	})
+	near := startNode(t, "a", []string{far.opt.Control}, func(o *Options) { o.DataFolder = t.TempDir() })
+	g.Expect(near.replicas.atAddresses(nil)).To(gomega.Equal([]raft.Peer{{ID: far.replicas.id, Addr: told, Domain: "b"}}))
+}
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -5,6 +5,7 @@
 package repair
 
 import (
+	"slices"
 	"time"
 
 	"github.com/umberthread/umberthread/raft"
@@ -108,10 +109,14 @@
 	return Plan{}, false
 }
 
-// moved takes over the new address of a member.
+// moved takes over the new address of a member. One that answers at its address as
+// well has not moved: it would be moved to and fro, and nothing repaired meanwhile.
 func moved(g Group) (Plan, bool) {
-	for _, c := range g.Candidates {
-		for i, v := range g.Conf.Voters {
+	for i, v := range g.Conf.Voters {
+		if slices.ContainsFunc(g.Candidates, func(c raft.Peer) bool { return c.ID == v.ID && c.Addr == v.Addr }) {
+			continue
+		}
+		for _, c := range g.Candidates {
 			if v.ID == c.ID && v.Addr != c.Addr {
 				next := g.Conf.Without("")
 				next.Voters[i].Addr = c.Addr
--- a/repair/repair_test.go
+++ b/repair/repair_test.go
@@ -68,3 +68,27 @@
 	}, opt)
 	g.Expect(ok).To(gomega.BeFalse(), "removing without a substitute only lowers the quorum")
 }
+
+// TestAReplicaThatAnswersAtTwoAddressesIsNotMoved: a replica answers at the address
+// that the group knows it by, and at another one, from the settings. The group took
+// it for moved to the other address and back, ten times a second, and made no other
+// change: a disk that was lost at the same time was never replaced.
+func TestAReplicaThatAnswersAtTwoAddressesIsNotMoved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	other := raft.Peer{ID: "b", Addr: "at-b-too", Domain: "y"}
+	group := Group{
+		Conf: raft.Conf{Voters: []raft.Peer{peer("a", "x"), peer("b", "y"), peer("c", "z")}}, Self: "a",
+		Health:     map[string]Health{"b": {}, "c": {Silent: 2 * time.Minute}},
+		Candidates: []raft.Peer{other, peer("b", "y"), peer("d", "z")},
+	}
+	p, ok := Next(group, opt)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(p.Conf.Voters).To(gomega.ContainElement(peer("b", "y")))
+	g.Expect(p.Conf.Learner("d")).To(gomega.BeTrue(), p.Reason)
+
+	// Where it no longer answers at its address, it has moved.
+	group.Candidates = []raft.Peer{other, peer("d", "z")}
+	p, ok = Next(group, opt)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(p.Conf.Voters).To(gomega.ContainElement(other))
+}
