Soak: replaced replicas, lost disks in series, groups whole at the end; reports as table and JSON

The soak wiped a disk every 15 s at most, replaced no replica, and did not look whether the groups were repaired. Now a replica may also be gone for good and another come at other addresses; disks are lost 6 s apart or more, each only once the replicas bear it (else the step is left out and counted); within 10 s of when all is served again the groups must be whole. Reports count planned and played steps by kind, and can be written as JSON.

--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -61,6 +61,8 @@
 	HTTP, Data, Control, Admin string
 	Folder                     string
 	file                       string
+	name                       string
+	spec                       NodeSpec
 }
 
 // Server is a stand-in backend server process.
@@ -140,21 +142,51 @@
 }
 
 func (f *Fleet) tryNode(s NodeSpec) (*Node, error) {
-	n := &Node{Domain: s.Domain}
-	for _, a := range []*string{&n.HTTP, &n.Data, &n.Control, &n.Admin} {
+	n := &Node{Domain: s.Domain, spec: s, name: fmt.Sprintf("%s-%d", s.Domain, len(f.Nodes)+1)}
+	n.file = filepath.Join(f.Dir, n.name+".toml")
+	if s.Disk {
+		n.Folder = filepath.Join(f.Dir, n.name+"-data")
+	}
+	if err := freeAddrs(&n.HTTP, &n.Data, &n.Control, &n.Admin); err != nil {
+		return nil, err
+	}
+	if err := f.writeSettings(n); err != nil {
+		return nil, err
+	}
+	f.Nodes = append(f.Nodes, n)
+	return n, f.Restart(n)
+}
+
+// Move gives a node that is not running other addresses towards the other nodes.
+// Callers and operators find it where it was.
+func (f *Fleet) Move(n *Node) error {
+	if err := freeAddrs(&n.Data, &n.Control); err != nil {
+		return err
+	}
+	return f.writeSettings(n)
+}
+
+func freeAddrs(addrs ...*string) error {
+	for _, a := range addrs {
 		addr, err := sock.FreeAddr()
 		if err != nil {
-			return nil, err
+			return err
 		}
 		*a = addr
 	}
-	name := fmt.Sprintf("%s-%d", s.Domain, len(f.Nodes)+1)
+	return nil
+}
+
+// writeSettings writes a node's settings file, with the addresses that the first
+// nodes have now.
+func (f *Fleet) writeSettings(n *Node) error {
+	s := n.spec
 	boot := s.Bootstrap
 	if boot == nil {
-		boot = f.bootstrap()
+		boot = f.bootstrap(n)
 	}
 	lines := []string{
-		fmt.Sprintf("name = %q", name), fmt.Sprintf("failure_domain = %q", s.Domain),
+		fmt.Sprintf("name = %q", n.name), fmt.Sprintf("failure_domain = %q", s.Domain),
 		fmt.Sprintf("http = %q", n.HTTP), fmt.Sprintf("data = %q", n.Data),
 		fmt.Sprintf("control = %q", n.Control), fmt.Sprintf("admin = %q", n.Admin),
 	}
@@ -162,46 +194,44 @@
 		lines = append(lines, `bootstrap = ["`+strings.Join(boot, `", "`)+`"]`)
 	}
 	if s.Disk {
-		n.Folder = filepath.Join(f.Dir, name+"-data")
 		lines = append(lines, fmt.Sprintf("data_folder = %q", n.Folder))
 	}
 	lines = append(lines, s.Extra...)
 	if s.Advertise != nil {
 		more, err := s.Advertise(n.Data, n.Control)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		lines = append(lines, more...)
 	}
-	n.file = filepath.Join(f.Dir, name+".toml")
 	if err := os.WriteFile(n.file, []byte(strings.Join(lines, "\n")), 0o644); err != nil {
-		return nil, fault.Wrap(fault.Internal, err, "cannot write settings")
+		return fault.Wrap(fault.Internal, err, "cannot write settings")
 	}
-	f.Nodes = append(f.Nodes, n)
-	return n, f.Restart(n)
+	return nil
 }
 
 // Restart starts a node's process, for the first time or again.
 func (f *Fleet) Restart(n *Node) error {
-	name := strings.TrimSuffix(filepath.Base(n.file), ".toml")
-	p, err := f.start(name, "umberthreadd", "--settings", n.file)
+	p, err := f.start(n.name, "umberthreadd", "--settings", n.file)
 	if err != nil {
 		return err
 	}
 	n.Proc = p
 	return Await(20*time.Second, func() error {
 		if p.Wait(0) {
-			return fault.New(fault.Internal, "node "+name+" ended, see its log in "+f.Dir)
+			return fault.New(fault.Internal, "node "+n.name+" ended, see its log in "+f.Dir)
 		}
 		_, err := n.Status()
 		return err
 	})
 }
 
-func (f *Fleet) bootstrap() []string {
+// bootstrap returns the control addresses of the first nodes other than self.
+func (f *Fleet) bootstrap(self *Node) []string {
+	const most = 3
 	var out []string
 	for _, n := range f.Nodes {
-		if len(out) < 3 {
+		if n != self && len(out) < most {
 			out = append(out, n.Control)
 		}
 	}
--- a/internal/soak/act.go
+++ b/internal/soak/act.go
@@ -33,6 +33,9 @@
 // act carries out a step and returns once it is over.
 func (r *run) act(s Step) {
 	m := r.fleet.members[s.Target]
+	if s.Kind.takesDisk() && !r.mayTakeDisk() {
+		return
+	}
 	sp := &spell{Step: s, began: time.Now()}
 	r.note(sp)
 	switch {
@@ -69,6 +72,8 @@
 }
 
 func (r *run) relays(m *member, do func(*relay.Relay)) {
+	m.relayMu.Lock()
+	defer m.relayMu.Unlock()
 	for _, l := range m.relays {
 		do(l)
 	}
@@ -110,11 +115,16 @@
 		m.Signal(syscall.SIGKILL)
 		m.Wait(stopSlack)
 	}
-	if s.Kind == Wipe {
+	if s.Kind.takesDisk() {
 		if err := os.RemoveAll(m.Folder); err != nil {
 			r.broke("soak", "cannot wipe: %v", err)
 		}
 	}
+	if s.Kind == Replace {
+		if err := r.fleet.Move(m.Node); err != nil {
+			r.broke("soak", "cannot move: %v", err)
+		}
+	}
 	if s.Kind == Torn {
 		if err := m.tear(); err != nil {
 			r.broke("soak", "cannot tear: %v", err)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -55,7 +55,9 @@
 // member is a node, the relays before it and the backend server beside it.
 type member struct {
 	*harness.Node
-	relays []*relay.Relay
+	// relayMu guards relays, which are others once the node has moved.
+	relayMu sync.Mutex
+	relays  []*relay.Relay
 	// servers are the stand-ins that stood beside the node, the last one now.
 	servers []*standin.Server
 	options standin.Options
@@ -116,6 +118,8 @@
 
 // advertise puts relays before the node's addresses.
 func (m *member) advertise(data, control string) ([]string, error) {
+	m.relayMu.Lock()
+	defer m.relayMu.Unlock()
 	for _, r := range m.relays {
 		r.Close()
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -17,6 +17,8 @@
 	Term   Kind = "term"   // SIGTERM, and a start later
 	Wipe   Kind = "wipe"   // SIGKILL, the folder is lost, and a start later
 	Torn   Kind = "torn"   // SIGKILL, the log ends in half a record, and a start later
+	// Replace is SIGKILL for good; another comes later, empty and at other addresses.
+	Replace Kind = "replace"
 
 	CutThere Kind = "cut-there" // nothing reaches the node
 	CutBack  Kind = "cut-back"  // nothing of the node's answers gets out
@@ -37,19 +39,35 @@
 // kinds are the kinds that a plan draws from; one that stands twice comes twice
 // as often.
 var kinds = []Kind{
-	Freeze, Kill, Term, Term, Wipe, Torn, CutThere, CutBack, CutBoth, Silence, Reset, Delay,
+	Freeze, Kill, Term, Term, Wipe, Replace, Torn, CutThere, CutBack, CutBoth, Silence, Reset, Delay,
 	ServerLost, ServerDrain, ServerSlow, ServerFail, Change, Change, Race,
 }
 
-// takesDisk tells whether the kind costs a replica its disk for some seconds.
-func (k Kind) takesDisk() bool { return k == Wipe }
+// takesDisk tells whether the kind costs a replica its disk.
+func (k Kind) takesDisk() bool { return k == Wipe || k == Replace }
+
+// needsDisk tells whether the kind is for nodes with a disk.
+func (k Kind) needsDisk() bool { return k.takesDisk() || k == Torn }
 
 // stopsProcess tells whether the kind ends the process of a node.
-func (k Kind) stopsProcess() bool { return k == Kill || k == Term || k == Wipe || k == Torn }
+func (k Kind) stopsProcess() bool { return k == Kill || k == Term || k.needsDisk() }
 
 // harmless tells whether the kind disturbs no node.
 func (k Kind) harmless() bool { return k == Change || k == Race || k == Term }
 
+// Failure is a run that once broke a promise, kept to be played again.
+type Failure struct {
+	Seed  uint64
+	Span  time.Duration
+	Cause string
+}
+
+// Failures are the runs that broke a promise of the product, with the cause that
+// was mended. A test without the soak brings each cause about as well.
+var Failures = []Failure{
+	{8105, 25 * time.Second, "a replica that answered at two addresses was moved to and fro, and no lost disk replaced"},
+}
+
 // Step is one injected fault, or one planned act of an operator.
 type Step struct {
 	At   time.Duration
@@ -78,8 +96,10 @@
 	// how many nodes it takes, one after the other.
 	seriesShare = 0.25
 	seriesMost  = 4
-	// repairTime is kept between two lost disks: the group bears one at a time.
-	repairTime = 15 * time.Second
+	// repairTime is kept between two lost disks: the group bears one at a time. It
+	// is a little more than a repair takes on a fleet that nothing else disturbs; a
+	// step that finds the group still under repair is left out.
+	repairTime = 6 * time.Second
 )
 
 // Plan returns the steps for a seed: for so many nodes, of which the first
@@ -109,7 +129,7 @@
 func bearable(steps []Step, replicas int) []Step {
 	lost := -repairTime
 	return slices.DeleteFunc(steps, func(s Step) bool {
-		if s.Kind != Wipe && s.Kind != Torn {
+		if !s.Kind.needsDisk() {
 			return false
 		}
 		if s.Target >= replicas {
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -25,13 +25,14 @@
 				t.Fatalf("step %d: %v, then %v", i, s, again[i])
 			}
 			last = s.At
-			if (s.Kind == Wipe || s.Kind == Torn) && s.Target >= replicas {
+			takesDisk := s.Kind == Wipe || s.Kind == Replace
+			if (takesDisk || s.Kind == Torn) && s.Target >= replicas {
 				t.Fatalf("%v needs a disk", s)
 			}
-			if s.Kind == Wipe && s.At-lost < repairTime {
+			if takesDisk && s.At-lost < repairTime {
 				t.Fatalf("%v comes too soon after another", s)
 			}
-			if s.Kind == Wipe {
+			if takesDisk {
 				lost = s.At
 			}
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -40,8 +40,11 @@
 
 // Report is what a run found.
 type Report struct {
-	Seed   uint64
-	Steps  []Step
+	Seed  uint64
+	Steps []Step
+	// Played counts the steps that were carried out, by kind: a step that takes a
+	// disk is left out while the replicas do not bear it.
+	Played map[Kind]int
 	Broken []Broken
 	// Attempts, Served and Refused count what callers saw.
 	Attempts, Served, Refused int
@@ -49,6 +52,8 @@
 	Changes int
 	// Recovered is how long after the last step all requests were served.
 	Recovered time.Duration
+	// Repaired is how much longer it took until the replica groups were whole.
+	Repaired time.Duration
 	// InForce is how long a change took that was made after all replicas had been
 	// lost and had returned, from its acceptance to being in force on every node.
 	InForce time.Duration
@@ -63,6 +68,11 @@
 	callers   *callers
 	operators *operators
 
+	// disks is held while a step that takes a disk is let through or left out;
+	// diskLost is when the last one was let through.
+	disks    sync.Mutex
+	diskLost time.Time
+
 	mu     sync.Mutex
 	spells []*spell
 	broken []Broken
@@ -111,15 +121,17 @@
 		go func() { defer acts.Done(); r.act(s) }()
 	}
 	acts.Wait()
+	played := r.played()
 	recovered, err := r.awaitService(recoverWithin)
 	if err != nil {
 		r.broke("recovery", "not all is served %s after the last step: %v", recoverWithin, err)
 	}
+	repaired := r.awaitRepair()
 	inForce := r.loseReplicas()
 	stop()
 	load.Wait()
 	r.checkAll()
-	rep := &Report{Seed: r.opt.Seed, Steps: steps, Recovered: recovered, InForce: inForce, Folder: r.fleet.Dir, Broken: r.broken, Changes: len(r.operators.accepted())}
+	rep := &Report{Seed: r.opt.Seed, Steps: steps, Played: played, Recovered: recovered, Repaired: repaired, InForce: inForce, Folder: r.fleet.Dir, Broken: r.broken, Changes: len(r.operators.accepted())}
 	for _, a := range r.callers.taken() {
 		rep.Attempts++
 		switch {
@@ -164,6 +176,17 @@
 	return time.Since(start), err
 }
 
+// played counts the steps carried out so far, by kind.
+func (r *run) played() map[Kind]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[Kind]int{}
+	for _, sp := range r.spells {
+		out[sp.Kind]++
+	}
+	return out
+}
+
 func (r *run) note(sp *spell) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
