--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -72,6 +72,14 @@
 	soaks.Flag("json", "File for the reports as JSON, durations in nanoseconds.").StringVar(&sk.json)
 	runs[soaks.FullCommand()] = func() error { return runSoak(*bin, sk) }
 
+	studies := app.Command("study", "A failure domain of each size in virtual time: time to notice a loss, false suspicions, bytes, time until settings are in force.")
+	var st studyOptions
+	studies.Flag("size", "Number of members. Repeat for more.").Default("32", "128", "512", "1091").IntsVar(&st.sizes)
+	studies.Flag("seed", "Seed of all choices.").Default("1").Uint64Var(&st.seed)
+	studies.Flag("loss", "Share of datagrams that is lost.").Default("0.01").Float64Var(&st.loss)
+	studies.Flag("out", "Folder for the plot.").StringVar(&st.out)
+	runs[studies.FullCommand()] = func() error { return runStudy(st) }
+
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if *bin == "" {
 		self, err := os.Executable()
