--- a/cmd/umberbench/soak.go
+++ b/cmd/umberbench/soak.go
@@ -99,10 +99,19 @@
 	return out
 }
 
+// lateRecovery is the time from which on it is told what was not served: twice what
+// most runs take.
+const lateRecovery = 8 * time.Second
+
 // printSoak prints a report; true if nothing is broken.
 func printSoak(rep *soak.Report) bool {
 	fmt.Printf("seed %d: %d steps, %d attempts, %d served, %d refused, %d changes, recovered after %s, replicas whole %s later, in force %s after the return of all replicas\n",
 		rep.Seed, len(rep.Steps), rep.Attempts, rep.Served, rep.Refused, rep.Changes, rep.Recovered.Round(10*time.Millisecond), rep.Repaired.Round(10*time.Millisecond), rep.InForce.Round(time.Millisecond))
+	if rep.Recovered > lateRecovery {
+		for _, m := range rep.Missed {
+			fmt.Println("  not served:", m)
+		}
+	}
 	if len(rep.Broken) == 0 {
 		return true
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -52,6 +52,8 @@
 	Changes int
 	// Recovered is how long after the last step all requests were served.
 	Recovered time.Duration
+	// Missed are the requests that were not served during that time, the last ones.
+	Missed []string
 	// Repaired is how much longer it took until the replica groups were whole.
 	Repaired time.Duration
 	// InForce is how long a change took that was made after all replicas had been
@@ -93,7 +95,7 @@
 		return nil, err
 	}
 	r := &run{opt: o, fleet: f, callers: newCallers(f.Entries()), operators: &operators{admins: f.Admins()}}
-	if _, err := r.awaitService(recoverWithin); err != nil {
+	if _, _, err := r.awaitService(recoverWithin); err != nil {
 		return nil, err
 	}
 	rep := r.play()
@@ -122,7 +124,7 @@
 	}
 	acts.Wait()
 	played := r.played()
-	recovered, err := r.awaitService(recoverWithin)
+	recovered, missed, err := r.awaitService(recoverWithin)
 	if err != nil {
 		r.broke("recovery", "not all is served %s after the last step: %v", recoverWithin, err)
 	}
@@ -131,7 +133,7 @@
 	stop()
 	load.Wait()
 	r.checkAll()
-	rep := &Report{Seed: r.opt.Seed, Steps: steps, Played: played, Recovered: recovered, Repaired: repaired, InForce: inForce, Folder: r.fleet.Dir, Broken: r.broken, Changes: len(r.operators.accepted())}
+	rep := &Report{Seed: r.opt.Seed, Steps: steps, Played: played, Recovered: recovered, Missed: missed, Repaired: repaired, InForce: inForce, Folder: r.fleet.Dir, Broken: r.broken, Changes: len(r.operators.accepted())}
 	for _, a := range r.callers.taken() {
 		rep.Attempts++
 		switch {
@@ -151,10 +153,14 @@
 	inARow = 5
 )
 
+// missedMost is how many requests that were not served are kept.
+const missedMost = 5
+
 // awaitService waits until every node serves every sort of request a few times
-// in a row.
-func (r *run) awaitService(within time.Duration) (time.Duration, error) {
+// in a row. It returns how long that took, and what was not served meanwhile.
+func (r *run) awaitService(within time.Duration) (time.Duration, []string, error) {
 	start := time.Now()
+	var missed []string
 	probe := newCallers(r.fleet.Entries())
 	err := harness.Await(within, func() error {
 		for kind := range sorts {
@@ -168,12 +174,15 @@
 		probe.attempts = nil
 		for _, a := range taken {
 			if a.status != http.StatusOK {
+				missed = append(missed, fmt.Sprintf("%s after %s at node %d: status %d %s, took %s",
+					sorts[a.sort].target, a.sent.Sub(start).Round(time.Millisecond), a.entry+1, a.status, a.id, a.ended.Sub(a.sent).Round(time.Millisecond)))
+				missed = missed[max(0, len(missed)-missedMost):]
 				return fault.Newf(fault.NotFound, "%s at node %d: status %d", sorts[a.sort].target, a.entry+1, a.status)
 			}
 		}
 		return nil
 	})
-	return time.Since(start), err
+	return time.Since(start), missed, err
 }
 
 // played counts the steps carried out so far, by kind.
