--- a/cmd/umberbench/soak.go
+++ b/cmd/umberbench/soak.go
@@ -109,7 +109,7 @@
 		rep.Seed, len(rep.Steps), rep.Attempts, rep.Served, rep.Refused, rep.Changes, rep.Recovered.Round(10*time.Millisecond), rep.Repaired.Round(10*time.Millisecond), rep.InForce.Round(time.Millisecond))
 	if rep.Recovered > lateRecovery {
 		for _, m := range rep.Missed {
-			fmt.Println("  not served:", m)
+			fmt.Println("  not served, or slowly:", m)
 		}
 	}
 	if len(rep.Broken) == 0 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -52,7 +52,8 @@
 	Changes int
 	// Recovered is how long after the last step all requests were served.
 	Recovered time.Duration
-	// Missed are the requests that were not served during that time, the last ones.
+	// Missed are the requests that were not served during that time, or served slowly,
+	// the last ones.
 	Missed []string
 	// Repaired is how much longer it took until the replica groups were whole.
 	Repaired time.Duration
@@ -153,8 +154,12 @@
 	inARow = 5
 )
 
-// missedMost is how many requests that were not served are kept.
-const missedMost = 5
+const (
+	// missedMost is how many requests that were not served, or slowly, are kept.
+	missedMost = 12
+	// slowProbe is from when on a request is served slowly: it works for 20 ms.
+	slowProbe = 400 * time.Millisecond
+)
 
 // awaitService waits until every node serves every sort of request a few times
 // in a row. It returns how long that took, and what was not served meanwhile.
@@ -173,10 +178,14 @@
 		taken := probe.taken()
 		probe.attempts = nil
 		for _, a := range taken {
-			if a.status != http.StatusOK {
-				missed = append(missed, fmt.Sprintf("%s after %s at node %d: status %d %s, took %s",
-					sorts[a.sort].target, a.sent.Sub(start).Round(time.Millisecond), a.entry+1, a.status, a.id, a.ended.Sub(a.sent).Round(time.Millisecond)))
+			if took := a.ended.Sub(a.sent); a.status != http.StatusOK || took > slowProbe {
+				missed = append(missed, fmt.Sprintf("%s after %s at node %d: status %d, took %s, id %s", sorts[a.sort].target,
+					a.sent.Sub(start).Round(time.Millisecond), a.entry+1, a.status, took.Round(time.Millisecond), a.id))
 				missed = missed[max(0, len(missed)-missedMost):]
+			}
+		}
+		for _, a := range taken {
+			if a.status != http.StatusOK {
 				return fault.Newf(fault.NotFound, "%s at node %d: status %d", sorts[a.sort].target, a.entry+1, a.status)
 			}
 		}
