Let a replica go on while its disk syncs; hand the lead over when it stalls

Cause of the known red test: a replica's loop waited for each sync, so that a stalled disk silenced a healthy replica.

Change: a writer duty owns each log. One save is under way, the next takes all that came meanwhile. Appends, heartbeats and their answers and rejections go out at once; votes, both sides of the vote before an election, and confirmed entries after the save. What waits is dropped when the term changes. A quorum's entries are applied whatever the own disk does. A save of over 2 s hands the lead to the voter that has saved most, if a quorum of disks answers; else the leader stays and refuses changes as not run. A disk that confirms nothing counts as silent for the repair. Compactions are written there too.

Node tests of replicas green.

Ruled out: a queue of saves. It needs a bound, and entries that are replaced while they wait; here the core holds them.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -131,10 +131,15 @@
 	Applied uint64 `json:"applied"`
 	// BearsLoss tells, on the leader, whether the group commits on after one more
 	// loss, and RepairMs how long it could not the last time, in milliseconds.
-	BearsLoss bool     `json:"bears_loss"`
-	RepairMs  int64    `json:"repair_ms,omitempty"`
-	Voters    []string `json:"voters"`
-	Learners  []string `json:"learners,omitempty"`
+	BearsLoss bool  `json:"bears_loss"`
+	RepairMs  int64 `json:"repair_ms,omitempty"`
+	// SavingMs is how long this replica's disk has taken for the save under way, in
+	// milliseconds, and Stalled tells, on the leader, whether too few disks answer to
+	// accept a change.
+	SavingMs int64    `json:"saving_ms,omitempty"`
+	Stalled  bool     `json:"stalled,omitempty"`
+	Voters   []string `json:"voters"`
+	Learners []string `json:"learners,omitempty"`
 }
 
 // Status returns the node's state.
@@ -189,6 +194,8 @@
 	for _, g := range r.groups {
 		gs := GroupStatus{Group: g.id, Leads: g.leads.Load(), Leader: r.leaderAddr(g.id), Applied: g.applied.Load()}
 		gs.BearsLoss = gs.Leads && g.bears.Load()
+		gs.SavingMs = time.Duration(g.savingFor.Load()).Milliseconds()
+		gs.Stalled = g.stalled.Load()
 		gs.RepairMs = time.Duration(g.repairTook.Load()).Milliseconds()
 		if conf := g.conf.Load(); conf != nil {
 			for _, p := range conf.Voters {
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -28,15 +28,17 @@
 	unsettledEvery = 4
 	// caughtUp is how many entries a learner may lack to get a vote.
 	caughtUp = 16
+	// stallTicks is how long a sync may take before the disk counts as stalled.
+	stallTicks = 80
 )
 
-// group is one replica of one group: the duty that owns a raft core, its
-// folder and its state machine.
+// group is one replica of one group: the duty that owns a raft core and its state
+// machine. Its folder is its writer's.
 type group struct {
 	id      int
 	r       *replicas
 	core    *raft.Core
-	wal     *wal.WAL
+	writer  *logWriter
 	sm      stateMachine
 	inbox   *ring.Ring[func()]
 	waiters map[uint64]waiter
@@ -47,6 +49,10 @@
 	role    raft.Role
 	life    chart.State
 	failed  bool
+	// compacting tells whether a compaction is being written.
+	compacting bool
+	// stall is what is known of disks that do not answer.
+	stall stallWatch
 
 	leaderAddr atomic.Pointer[string]
 	leads      atomic.Bool
@@ -59,6 +65,10 @@
 	// long it was so the last time, in nanoseconds.
 	exposedSince time.Time
 	repairTook   atomic.Int64
+	// savingFor is how long the save under way has taken, in nanoseconds, and stalled
+	// tells whether a quorum of disks stalls.
+	savingFor atomic.Int64
+	stalled   atomic.Bool
 }
 
 type waiter struct {
@@ -66,13 +76,13 @@
 	done chan []byte
 }
 
-func openGroup(r *replicas, id int, w *wal.WAL, l wal.Loaded, m stateMachine) (*group, error) {
+func openGroup(r *replicas, id int, w *logWriter, l wal.Loaded, m stateMachine) (*group, error) {
 	g := &group{
-		id: id, r: r, wal: w, sm: m, inbox: ring.New[func()](inboxSize),
+		id: id, r: r, writer: w, sm: m, inbox: ring.New[func()](inboxSize),
 		waiters: map[uint64]waiter{}, reads: map[uint64]chan raft.Read{},
 	}
 	g.core = raft.New(raft.Options{
-		ID: r.id, Election: electionTicks, Heartbeat: heartbeatTicks, MaxBatch: maxBatch,
+		ID: r.id, Election: electionTicks, Heartbeat: heartbeatTicks, MaxBatch: maxBatch, Stall: stallTicks,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, l.State, l.Snapshot, l.Entries)
 	if err := m.restore(l.Snapshot.Data); err != nil {
@@ -81,11 +91,11 @@
 	return g, nil
 }
 
-// run is the group's duty.
+// run is the group's duty. It never waits for the disk, so that a replica whose disk
+// stalls goes on answering.
 func (g *group) run() {
 	t := time.NewTicker(raftTick)
 	defer t.Stop()
-	defer g.wal.Close()
 	g.note()
 	for {
 		select {
@@ -94,6 +104,8 @@
 		case f := <-g.inbox.C():
 			f()
 			g.drain()
+		case w := <-g.writer.written.C():
+			g.finish(w)
 		case <-t.C:
 			g.tick()
 		}
@@ -116,6 +128,7 @@
 func (g *group) tick() {
 	g.core.Tick()
 	g.ticks++
+	g.watchDisks()
 	if g.core.Role() != raft.Leader {
 		g.settled.Store(true)
 		g.exposedSince = time.Time{}
@@ -162,18 +175,17 @@
 			break
 		}
 		g.r.send(g, rd.Early)
-		if err := g.wal.Save(&rd); err != nil {
-			g.fail(err)
-			return
-		}
 		if rd.Snapshot != nil {
 			if err := g.sm.restore(rd.Snapshot.Data); err != nil {
 				g.fail(err)
 				return
 			}
 		}
-		g.core.Advance(rd)
-		g.r.send(g, rd.Messages)
+		if rd.MustSave() {
+			g.writer.jobs.Offer(writeJob{ready: rd})
+		} else {
+			g.r.send(g, rd.Messages)
+		}
 		for i := range rd.Committed {
 			g.apply(&rd.Committed[i])
 		}
@@ -183,6 +195,20 @@
 	g.compact()
 }
 
+// finish takes in that the writer ended a job: what waited for it is sent.
+func (g *group) finish(w written) {
+	switch {
+	case g.failed:
+	case w.err != nil:
+		g.fail(w.err)
+	case w.job.reset != nil:
+		g.compacting = false
+	default:
+		g.core.Advance(w.job.ready)
+		g.r.send(g, w.job.ready.Messages)
+	}
+}
+
 // fail stops a replica whose disk does not keep its promises. It must not go
 // on: the next start finds the damage and comes back under a new identity.
 func (g *group) fail(err error) {
@@ -238,11 +264,20 @@
 		if role == raft.Leader || g.role == raft.Leader {
 			g.r.n.event("replica", "Group "+formatUint(uint64(g.id))+": this replica is "+role.String()+" in term "+formatUint(g.core.Term())+".")
 		}
-		g.happen(roleEvents[role])
-		g.role = role
+		g.changeRole(role)
 	}
 }
 
+// changeRole follows the core. Several messages may be taken in between two looks,
+// so a leader that stands again was a follower meanwhile.
+func (g *group) changeRole(role raft.Role) {
+	if g.role == raft.Leader && role != raft.Follower {
+		g.happen(roleEvents[raft.Follower])
+	}
+	g.happen(roleEvents[role])
+	g.role = role
+}
+
 // happen takes an event of the replica chart in. A change of role that the
 // chart does not have is said so: the chart or the core is wrong.
 func (g *group) happen(e chart.Event) {
@@ -254,8 +289,13 @@
 	g.life = next
 }
 
+// compact has the log replaced by a snapshot once it is long. Between two saves the
+// core has nothing that is not persisted.
 func (g *group) compact() {
-	if g.failed || g.core.LogLen() < compactAfter {
+	if g.failed || g.compacting || g.core.LogLen() < compactAfter {
+		return
+	}
+	if g.core.Saving() {
 		return
 	}
 	data, err := g.sm.snapshot()
@@ -267,10 +307,8 @@
 	if !ok {
 		return
 	}
-	// All of the core's work is done, so what was saved is its state.
-	if err := g.wal.Reset(snap, g.wal.State(), g.core.Tail()); err != nil {
-		g.fail(err)
-	}
+	g.compacting = true
+	g.writer.jobs.Offer(writeJob{reset: &logReset{snap: snap, tail: g.core.Tail()}})
 }
 
 // members is what the decision about the membership looks at.
@@ -279,6 +317,8 @@
 	health := map[string]repair.Health{}
 	for _, p := range append(append([]raft.Peer(nil), conf.Voters...), conf.Learners...) {
 		if ticks, lag, ok := g.core.Silent(p.ID); ok {
+			// A replica whose disk confirms nothing is as good as silent.
+			ticks = max(ticks, g.core.Unsaved(p.ID))
 			health[p.ID] = repair.Health{Silent: time.Duration(ticks) * raftTick, Lag: lag}
 		}
 	}
@@ -327,6 +367,10 @@
 			started <- start{err: fault.Newf(fault.NoQuorum, "the group has %d of %d replicas", voters, g.r.n.opt.MinVoters)}
 			return
 		}
+		if g.stall.quorum {
+			started <- start{err: fault.New(fault.NoQuorum, "the disks of too many replicas do not answer")}
+			return
+		}
 		result, err := g.sm.check(command)
 		if err != nil || result != nil {
 			started <- start{result, err}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -75,6 +75,8 @@
 	// Edge speaks to callers and backend servers in place of the project's
 	// own interface; nil for none.
 	Edge Edge `toml:"-"`
+	// wrapLog lets a test stand between a group and its log.
+	wrapLog func(replicaLog) replicaLog
 }
 
 // Duration is a time.Duration written as "1.5s" in TOML.
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -108,7 +108,7 @@
 		if id == configGroup {
 			m = &confMachine{n: r.n}
 		}
-		g, err := openGroup(r, id, w, loaded, m)
+		g, err := openGroup(r, id, newLogWriter(r.wrap(w)), loaded, m)
 		if err != nil {
 			return err
 		}
@@ -117,6 +117,13 @@
 	return nil
 }
 
+func (r *replicas) wrap(log replicaLog) replicaLog {
+	if r.n.opt.wrapLog == nil {
+		return log
+	}
+	return r.n.opt.wrapLog(log)
+}
+
 // loadIdentity reads the identity, or makes one for an empty folder. A folder
 // with groups but no identity is damaged.
 func (r *replicas) loadIdentity(dir string) error {
@@ -255,6 +262,7 @@
 	}
 	for _, g := range r.groups {
 		r.n.duty("replica", g.run)
+		r.n.duty("log writer", func() { g.writer.run(r.n.stop) })
 	}
 }
 
@@ -302,10 +310,10 @@
 	}
 	snap := raft.Form(self, nil)
 	st := raft.State{Term: snap.Term, Commit: snap.Index}
-	if err := g.wal.Reset(snap, st, nil); err != nil {
+	if err := g.writeNow(&logReset{snap: snap, state: &st}); err != nil {
 		return err
 	}
-	next, err := openGroup(g.r, g.id, g.wal, wal.Loaded{State: st, Snapshot: snap}, g.sm)
+	next, err := openGroup(g.r, g.id, g.writer, wal.Loaded{State: st, Snapshot: snap}, g.sm)
 	if err != nil {
 		return err
 	}
--- a/internal/node/replica_test.go
+++ b/internal/node/replica_test.go
@@ -20,16 +20,23 @@
 // startReplicas runs nodes with a disk in failure domains of their own, forms
 // the groups on the first and waits until all have a vote.
 func startReplicas(t testing.TB, domains ...string) []*testNode {
+	t.Helper()
+	return startReplicasWith(t, func(int, *Options) {}, domains...)
+}
+
+// startReplicasWith is startReplicas with a change of each node's settings.
+func startReplicasWith(t testing.TB, change func(i int, o *Options), domains ...string) []*testNode {
 	t.Helper()
 	var nodes []*testNode
 	var boot []string
-	for _, d := range domains {
+	for i, d := range domains {
 		dir := t.TempDir()
 		n := startNode(t, d, boot, func(o *Options) {
 			o.DataFolder = dir
 			o.Replicas = len(domains)
 			o.SuspectAfter = Duration{600 * time.Millisecond}
 			o.ReplaceAfter = Duration{2 * time.Second}
+			change(i, o)
 		})
 		nodes = append(nodes, n)
 		boot = []string{nodes[0].opt.Control}
--- /dev/null
+++ b/internal/node/stall_test.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/confstore"
+	"github.com/umberthread/umberthread/raft"
+	"github.com/umberthread/umberthread/settings"
+)
+
+// stallingLog is a log whose disk can be made to stall.
+type stallingLog struct {
+	replicaLog
+	disk *stallingDisk
+}
+
+// stallingDisk holds up the saves of its logs while it stalls.
+type stallingDisk struct {
+	mu    sync.Mutex
+	until chan struct{}
+}
+
+func (d *stallingDisk) stall() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.until = make(chan struct{})
+}
+
+func (d *stallingDisk) answer() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.until != nil {
+		close(d.until)
+		d.until = nil
+	}
+}
+
+func (d *stallingDisk) wait() {
+	d.mu.Lock()
+	until := d.until
+	d.mu.Unlock()
+	if until != nil {
+		<-until
+	}
+}
+
+func (l *stallingLog) Save(r *raft.Ready) error {
+	l.disk.wait()
+	return l.replicaLog.Save(r)
+}
+
+func (l *stallingLog) Reset(snap raft.Snapshot, st raft.State, entries []raft.Entry) error {
+	l.disk.wait()
+	return l.replicaLog.Reset(snap, st, entries)
+}
+
+// encodeChange is a change that sets something.
+func encodeChange(id string, base uint64) []byte {
+	c := confstore.Change{ID: id, Base: base, Patch: settings.Patch{Set: settings.Entries{"#deadline": "9s"}}}
+	return encode(&c)
+}
+
+// startStallable runs three replicas whose disks can stall.
+func startStallable(t *testing.T) ([]*testNode, []*stallingDisk) {
+	disks := []*stallingDisk{{}, {}, {}}
+	nodes := startReplicasWith(t, func(i int, o *Options) {
+		o.wrapLog = func(log replicaLog) replicaLog { return &stallingLog{log, disks[i]} }
+	}, "a", "b", "c")
+	t.Cleanup(func() {
+		for _, d := range disks {
+			d.answer()
+		}
+	})
+	return nodes, disks
+}
+
+// leaderOf returns which node leads the group of the settings, or -1.
+func leaderOf(nodes []*testNode) int {
+	for i, n := range nodes {
+		if n.replicas.groups[configGroup].leads.Load() {
+			return i
+		}
+	}
+	return -1
+}
+
+// The disk of the leader stalls. Changes go on being accepted, the lead goes to a
+// replica whose disk answers, and once the disk answers the replica has them all.
+func TestChangesAreAcceptedWhileTheLeadersDiskStalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes, disks := startStallable(t)
+	g.Eventually(func() int { return leaderOf(nodes) }, 10*time.Second, 5*time.Millisecond).Should(gomega.BeNumerically(">=", 0))
+	stalled := leaderOf(nodes)
+	asked := nodes[(stalled+1)%len(nodes)]
+	status, res := asked.change("before", 0, settings.Entries{"#deadline": "1s"})
+	g.Expect(status).To(gomega.Equal(200))
+	version := res.Version
+	disks[stalled].stall()
+	// Longer than it takes until the disk counts as stalled and the lead has passed.
+	const changes, every = 30, 100 * time.Millisecond
+	for i := range changes {
+		began := time.Now()
+		status, res = asked.change(fmt.Sprint("during-", i), version, settings.Entries{"#deadline": fmt.Sprintf("%ds", i+2)})
+		g.Expect(status).To(gomega.Equal(200), "change %d: %+v", i, res)
+		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second), "change %d", i)
+		version = res.Version
+		time.Sleep(every)
+	}
+	g.Expect(leaderOf(nodes)).NotTo(gomega.Equal(stalled))
+	disks[stalled].answer()
+	g.Eventually(func() bool {
+		own := nodes[stalled].replicas.groups[configGroup]
+		return !own.leads.Load() && own.applied.Load() >= nodes[leaderOf(nodes)].replicas.groups[configGroup].applied.Load()
+	}, 10*time.Second, 10*time.Millisecond).Should(gomega.BeTrue())
+	nodes[stalled].hasVersion(version)
+}
+
+// The disks of two of three replicas stall: a change is refused as not run, or not
+// answered, but never accepted; the leader stays, and changes are accepted as soon as
+// the disks answer.
+func TestChangesWaitForAQuorumOfDisks(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes, disks := startStallable(t)
+	g.Eventually(func() int { return leaderOf(nodes) }, 10*time.Second, 5*time.Millisecond).Should(gomega.BeNumerically(">=", 0))
+	leader := leaderOf(nodes)
+	group := nodes[leader].replicas.groups[configGroup]
+	for i, d := range disks {
+		if i != leader {
+			d.stall()
+		}
+	}
+	_, err := group.propose(encodeChange("stalled", 0), 4*time.Second)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Eventually(func() error {
+		_, err := group.propose(encodeChange("refused", 0), 100*time.Millisecond)
+		return err
+	}, 5*time.Second, 50*time.Millisecond).Should(gomega.MatchError(gomega.ContainSubstring("disks")))
+	g.Expect(leaderOf(nodes)).To(gomega.Equal(leader))
+	for _, d := range disks {
+		d.answer()
+	}
+	g.Eventually(func() error {
+		_, err := group.propose(encodeChange("after", 0), time.Second)
+		return err
+	}, 5*time.Second, 20*time.Millisecond).Should(gomega.Succeed())
+	g.Expect(leaderOf(nodes)).To(gomega.Equal(leader))
+}
+
+// The disk of a replica that does not lead never answers again, though its process
+// does: another replica takes its place.
+func TestReplicaWhoseDiskHangsIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes, disks := startStallable(t)
+	dir := t.TempDir()
+	spare := startNode(t, "d", []string{nodes[0].opt.Control}, func(o *Options) {
+		o.DataFolder = dir
+		o.Replicas = len(nodes)
+	})
+	g.Eventually(func() int { return leaderOf(nodes) }, 10*time.Second, 5*time.Millisecond).Should(gomega.BeNumerically(">=", 0))
+	leader := leaderOf(nodes)
+	hung := (leader + 1) % len(nodes)
+	disks[hung].stall()
+	version := uint64(0)
+	g.Eventually(func() bool {
+		// A disk that has nothing to save hangs unseen.
+		_, res := nodes[leader].change("", version, settings.Entries{"#deadline": fmt.Sprintf("%ds", version+2)})
+		version = max(version, res.Version)
+		conf := nodes[leader].replicas.groups[configGroup].conf.Load()
+		return conf.Voter(spare.replicas.id) && !conf.Voter(nodes[hung].replicas.id)
+	}, 20*time.Second, 50*time.Millisecond).Should(gomega.BeTrue())
+}
--- a/raft/core.go
+++ b/raft/core.go
@@ -21,20 +21,27 @@
 	Rand *rand.Rand
 	// MaxBatch bounds the entries of one message.
 	MaxBatch int
+	// Stall is how long a save may take before a leader hands its lead to a voter
+	// whose disk answers; 0 is for ever.
+	Stall int
 }
 
 // progress is what a leader knows of another replica.
 type progress struct {
 	match uint64
 	next  uint64
-	// beatMatch is match at the last heartbeat response.
-	beatMatch uint64
+	// beatMatch is match at the response to the last round of heartbeats, and
+	// beatNext next when the present round, beatRound, was sent.
+	beatMatch, beatNext, beatRound uint64
 	// round is the last heartbeat round that it answered.
 	round uint64
 	// heard is set by any message since the last quorum check.
 	heard bool
 	// silent counts the ticks since the last message.
 	silent int
+	// unsaved counts the ticks for which the replica has confirmed nothing of
+	// what it lacks.
+	unsaved int
 	// snapshotWait counts down the ticks until a snapshot is sent again.
 	snapshotWait int
 }
@@ -67,6 +74,16 @@
 	round           uint64
 	reads           []pendingRead
 
+	// held is the last index known to be as in the leader's log.
+	held uint64
+	// saving tells whether a Ready is being persisted, and saveTicks for how long.
+	saving    bool
+	saveTicks int
+	// heir is the voter to which this leader hands its lead, "" if to none, and
+	// heirTicks for how long.
+	heir      string
+	heirTicks int
+
 	early    []Message
 	messages []Message
 	done     []Read
@@ -115,6 +132,15 @@
 // ConfPending tells whether a membership change is not yet committed.
 func (c *Core) ConfPending() bool { return c.confIndex > c.log.commit }
 
+// Unsaved returns for how many ticks a replica has confirmed nothing of what it
+// lacks, though it may answer: its disk stalls. It is 0 if this is not the leader.
+func (c *Core) Unsaved(id string) int {
+	if p := c.peers[id]; c.role == Leader && p != nil {
+		return p.unsaved
+	}
+	return 0
+}
+
 // Silent returns for how many ticks the leader has heard nothing of a
 // replica, and how many entries it lacks; false if this is not the leader.
 //
@@ -136,20 +162,32 @@
 // Propose appends a command. It returns the index and term under which it
 // will be applied if it is ever committed.
 func (c *Core) Propose(data []byte) (index, term uint64, err error) {
-	if c.role != Leader {
-		return 0, 0, fault.New(fault.NotLeader, "this replica does not lead")
+	if err := c.mayPropose(); err != nil {
+		return 0, 0, err
 	}
 	e := c.append(Entry{Type: EntryData, Data: data})
 	c.broadcast()
 	return e.Index, e.Term, nil
 }
 
+// mayPropose refuses what is proposed to a replica that does not lead, or hands its
+// lead over: the next leader must have all entries.
+func (c *Core) mayPropose() error {
+	if c.role != Leader {
+		return fault.New(fault.NotLeader, "this replica does not lead")
+	}
+	if c.heir != "" {
+		return fault.New(fault.NotLeader, "this replica hands its lead over")
+	}
+	return nil
+}
+
 // ProposeConf appends a membership that differs by one replica from the one
 // in force. It is refused while another change is under way, and until the
 // leader has committed an entry of its own term.
 func (c *Core) ProposeConf(next Conf) error {
-	if c.role != Leader {
-		return fault.New(fault.NotLeader, "this replica does not lead")
+	if err := c.mayPropose(); err != nil {
+		return err
 	}
 	if t, _ := c.log.term(c.log.commit); c.ConfPending() || t != c.state.Term {
 		return fault.New(fault.Conflict, "another membership change is under way")
@@ -194,10 +232,11 @@
 	c.confirmReads()
 }
 
-// Compact replaces the log up to an applied index by a snapshot.
+// Compact replaces the log up to an applied index by a snapshot, unless a save is
+// under way or the index is not persisted.
 func (c *Core) Compact(index uint64, data []byte) (Snapshot, bool) {
 	term, ok := c.log.term(index)
-	if !ok || index > c.log.applied || index <= c.log.snap.Index {
+	if !ok || index > min(c.log.applied, c.log.stable) || index <= c.log.snap.Index || c.saving {
 		return Snapshot{}, false
 	}
 	snap := Snapshot{Index: index, Term: term, Conf: c.log.confAt(index).clone(), Data: data}
@@ -205,48 +244,71 @@
 	return snap, true
 }
 
-// Ready returns the work to do. Advance must be called when it is done.
+// Ready returns the work to do. Advance must be called once what it has to persist
+// is persisted.
 func (c *Core) Ready() Ready {
-	var r Ready
-	c.state.Commit = c.log.commit
-	if c.state != c.saved {
-		st := c.state
-		r.State = &st
-	}
-	r.Snapshot = c.restored
-	r.Entries = slices.Clone(c.log.slice(max(c.log.stable+1, c.log.first()), c.log.last()))
-	r.Early, r.Messages, r.Reads = c.early, c.messages, c.done
+	r := Ready{Early: c.early, Reads: c.done}
+	c.early, c.done = nil, nil
 	if c.state.Term != c.saved.Term {
 		// A term must not be led twice with different entries: until it is
 		// persisted, nothing is sent in it.
-		r.Messages = append(r.Early, r.Messages...)
+		c.messages = append(c.messages, r.Early...)
 		r.Early = nil
 	}
-	c.early, c.messages, c.done, c.restored = nil, nil, nil, nil
-	// Entries are applied only once they are persisted here as well.
-	upTo := min(c.log.commit, c.log.stable)
-	r.Committed = slices.Clone(c.log.slice(max(c.log.applied+1, c.log.first()), upTo))
-	c.log.applied = max(c.log.applied, upTo)
+	if !c.saving {
+		c.handOut(&r)
+	}
+	// What a quorum has persisted is applied though the own disk has yet to answer:
+	// one that stalls holds up nobody. A snapshot comes before what follows it.
+	if c.restored == nil {
+		r.Committed = slices.Clone(c.log.slice(max(c.log.applied+1, c.log.first()), c.log.commit))
+		c.log.applied = max(c.log.applied, c.log.commit)
+	}
 	return r
 }
 
-// Advance tells that the last Ready was persisted.
+// handOut adds to r what has to be persisted, and what has to wait for it.
+func (c *Core) handOut(r *Ready) {
+	c.state.Commit = c.log.commit
+	if c.state != c.saved {
+		st := c.state
+		r.State = &st
+	}
+	r.Snapshot, r.Messages = c.restored, c.messages
+	c.restored, c.messages = nil, nil
+	r.Entries = slices.Clone(c.log.slice(max(c.log.stable+1, c.log.first()), c.log.last()))
+	c.log.saving = c.log.last()
+	c.saving = r.MustSave()
+	c.saveTicks = 0
+}
+
+// Advance tells that what a Ready had to persist is persisted.
 func (c *Core) Advance(r Ready) {
+	if !r.MustSave() {
+		return
+	}
+	c.saving = false
 	if r.State != nil {
 		c.saved = *r.State
 	}
-	for _, e := range r.Entries {
-		// An entry may have been replaced since it was handed out.
-		if t, ok := c.log.term(e.Index); !ok || t != e.Term {
-			break
-		}
-		c.log.stable = max(c.log.stable, e.Index)
-	}
+	c.log.stable = max(c.log.stable, c.log.saving)
 	if c.role == Leader && len(r.Entries) > 0 {
 		c.advanceCommit()
 	}
 }
 
+// Saving tells whether a Ready is being persisted.
+func (c *Core) Saving() bool { return c.saving }
+
+// SaveTicks returns for how many ticks the save under way has taken, 0 if there is
+// none.
+func (c *Core) SaveTicks() int {
+	if !c.saving {
+		return 0
+	}
+	return c.saveTicks
+}
+
 func (c *Core) append(e Entry) Entry {
 	e.Term = c.state.Term
 	e.Index = c.log.last() + 1
@@ -273,16 +335,28 @@
 	}
 }
 
+// raiseTerm begins a term. Answers that still wait for the disk are dropped: what
+// they promise in their own term may be replaced before it is persisted.
+func (c *Core) raiseTerm(term uint64) {
+	c.state.Term = term
+	c.state.Vote = ""
+	c.messages = nil
+	c.held = 0
+}
+
 func (c *Core) becomeFollower(term uint64, leader string) {
 	if term > c.state.Term {
-		c.state.Term = term
-		c.state.Vote = ""
+		c.raiseTerm(term)
+	}
+	if leader != c.leader {
+		c.held = 0
 	}
 	c.role = Follower
 	c.leader = leader
 	c.elapsed = 0
 	c.preVotes, c.votes = nil, nil
 	c.peers = nil
+	c.heir = ""
 	c.timeout = c.opt.Election + c.opt.Rand.IntN(c.opt.Election)
 	for _, r := range c.reads {
 		c.done = append(c.done, Read{ID: r.id})
--- a/raft/election.go
+++ b/raft/election.go
@@ -3,6 +3,9 @@
 // Tick tells the replica that one unit of time has passed.
 func (c *Core) Tick() {
 	c.elapsed++
+	if c.saving {
+		c.saveTicks++
+	}
 	if c.role == Leader {
 		c.tickLeader()
 		return
@@ -15,14 +18,22 @@
 func (c *Core) tickLeader() {
 	for _, p := range c.peers {
 		p.silent++
+		p.unsaved++
+		if p.match == c.log.last() {
+			p.unsaved = 0
+		}
 		if p.snapshotWait > 0 {
 			p.snapshotWait--
 		}
 	}
+	c.tickTransfer()
 	c.beat++
 	if c.beat >= c.opt.Heartbeat {
 		c.beat = 0
 		c.round++
+		for _, p := range c.peers {
+			p.beatNext, p.beatRound = p.next, c.round
+		}
 		c.sendHeartbeats()
 	}
 	if c.elapsed < c.opt.Election {
@@ -58,21 +69,25 @@
 	// Also a learner gives its leader up: its vote may be needed, as it may have
 	// been given one that it does not know of.
 	c.leader = ""
-	if !c.conf.Voter(c.opt.ID) {
+	if !c.conf.Voter(c.opt.ID) || c.saving {
+		// What waits for the disk is sent when its save ends: replicas whose saves
+		// end together would stand together, each time.
 		return
 	}
 	c.role = PreCandidate
 	c.preVotes = map[string]bool{c.opt.ID: true}
 	if c.won(c.preVotes) {
-		c.campaign()
+		c.campaign(false)
 		return
 	}
-	c.askVotes(MsgPreVote, c.state.Term+1)
+	c.askVotes(Message{Type: MsgPreVote, Term: c.state.Term + 1})
 }
 
-func (c *Core) campaign() {
+// campaign stands for election. A transfer is one that the leader asked for.
+func (c *Core) campaign(transfer bool) {
 	c.role = Candidate
-	c.state.Term++
+	c.leader = ""
+	c.raiseTerm(c.state.Term + 1)
 	c.state.Vote = c.opt.ID
 	c.preVotes = nil
 	c.votes = map[string]bool{c.opt.ID: true}
@@ -80,13 +95,18 @@
 		c.becomeLeader()
 		return
 	}
-	c.askVotes(MsgVote, c.state.Term)
+	c.askVotes(Message{Type: MsgVote, Term: c.state.Term, Transfer: transfer})
 }
 
-func (c *Core) askVotes(t MessageType, term uint64) {
+// askVotes sends a request for a vote to all other voters. Also one before the
+// election waits for the disk, as its grant does: a group whose disks stall stays
+// in its term.
+func (c *Core) askVotes(m Message) {
+	m.Index, m.LogTerm = c.log.last(), c.log.lastTerm()
 	for _, v := range c.conf.Voters {
 		if v.ID != c.opt.ID {
-			c.send(Message{Type: t, To: v.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm()})
+			m.To = v.ID
+			c.send(m)
 		}
 	}
 }
@@ -144,7 +164,12 @@
 	if grant {
 		term = m.Term
 	}
-	c.send(Message{Type: resp, To: m.From, Term: term, Reject: !grant})
+	answer := Message{Type: resp, To: m.From, Term: term, Reject: !grant}
+	if grant {
+		c.send(answer)
+		return
+	}
+	c.sendNow(answer)
 }
 
 func (c *Core) mayVote(m Message) bool {
@@ -190,7 +215,7 @@
 	c.preVotes[m.From] = !m.Reject
 	switch {
 	case c.won(c.preVotes):
-		c.campaign()
+		c.campaign(false)
 	case c.lost(c.preVotes):
 		c.becomeFollower(c.state.Term, "")
 	}
--- a/raft/log.go
+++ b/raft/log.go
@@ -4,9 +4,10 @@
 type raftLog struct {
 	snap    Snapshot
 	entries []Entry
-	// stable is the last index that is persisted.
-	stable uint64
-	commit uint64
+	// stable is the last index that is persisted, and saving the last one that
+	// is once the save under way ends.
+	stable, saving uint64
+	commit         uint64
 	// applied is the last index handed out to be applied.
 	applied uint64
 }
@@ -69,6 +70,7 @@
 	}
 	l.entries = l.entries[:index-l.first()]
 	l.stable = min(l.stable, index-1)
+	l.saving = min(l.saving, index-1)
 }
 
 // conf returns the last membership in the log.
@@ -99,11 +101,11 @@
 	l.snap = snap
 }
 
-// restore replaces everything by a snapshot.
+// restore replaces everything by a snapshot, which has yet to be persisted.
 func (l *raftLog) restore(snap Snapshot) {
 	l.snap = snap
 	l.entries = nil
-	l.stable = snap.Index
+	l.stable, l.saving = 0, 0
 	l.commit = snap.Index
 	l.applied = snap.Index
 }
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -37,6 +37,8 @@
 	core *Core
 	disk *disk
 	down bool
+	// saving is what the disk has yet to save, where disks stall.
+	saving *Ready
 }
 
 // cluster is many replicas in one process, over a network that loses, delays,
@@ -57,7 +59,9 @@
 	// breakSync makes replicas send before they persist: the broken variant
 	// that the checks must find.
 	breakSync bool
-	commits   int
+	// stalls lets saves take until endSave.
+	stalls  bool
+	commits int
 	// found is called instead of failing the test.
 	found func()
 }
@@ -99,6 +103,7 @@
 	o := Options{ID: r.id, Election: 10, Heartbeat: 2, Rand: c.rng, MaxBatch: 4}
 	r.core = New(o, r.disk.state, r.disk.snap, append([]Entry(nil), r.disk.entries...))
 	r.down = false
+	r.saving = nil
 }
 
 // work does a replica's pending work; crashAt > 0 crashes it within.
@@ -116,6 +121,11 @@
 			c.crash(r)
 			return
 		}
+		if c.stalls && rd.MustSave() {
+			r.saving = &rd
+			c.applyAll(r, rd)
+			continue
+		}
 		r.disk.save(rd)
 		if crashAt == 2 {
 			c.crash(r)
@@ -123,13 +133,27 @@
 		}
 		r.core.Advance(rd)
 		c.net = append(c.net, rd.Messages...)
-		for _, e := range rd.Committed {
-			c.apply(r, e)
-		}
-		c.checkLeader(r)
+		c.applyAll(r, rd)
 	}
 }
 
+func (c *cluster) applyAll(r *replica, rd Ready) {
+	for _, e := range rd.Committed {
+		c.apply(r, e)
+	}
+	c.checkLeader(r)
+}
+
+// endSave ends the save of a replica whose disk stalled.
+func (c *cluster) endSave(r *replica) {
+	rd := *r.saving
+	r.saving = nil
+	r.disk.save(rd)
+	r.core.Advance(rd)
+	c.net = append(c.net, rd.Messages...)
+	c.work(r, 0)
+}
+
 func (c *cluster) crash(r *replica) {
 	r.down = true
 }
@@ -306,8 +330,11 @@
 // heal ends all faults and checks that the group elects, commits and agrees.
 func (c *cluster) heal() bool {
 	c.cut = map[string]bool{}
-	c.faults = false
+	c.faults, c.stalls = false, false
 	for _, id := range c.ids {
+		if r := c.replicas[id]; r.saving != nil && !r.down {
+			c.endSave(r)
+		}
 		if c.replicas[id].down {
 			c.boot(c.replicas[id])
 		}
@@ -349,25 +376,30 @@
 		for range rapid.IntRange(50, 300).Draw(t, "steps") {
 			c.step(t)
 		}
-		conf := c.replicas[c.ids[0]].core.Conf()
-		if l := c.leader(); l != nil {
-			conf = l.core.Conf()
-		}
-		lost := 0
-		for _, v := range conf.Voters {
-			if c.replicas[v.ID] == nil {
-				lost++
-			}
-		}
-		if lost > (len(conf.Voters)-1)/2 {
+		if c.lostQuorum() {
 			return
 		}
 		if !c.heal() {
-			t.Fatalf("the group does not work again after the faults: conf %+v", conf)
+			t.Fatal("the group does not work again after the faults")
 		}
 	})
 }
 
+// lostQuorum tells whether so many disks are lost that the group can't work again.
+func (c *cluster) lostQuorum() bool {
+	conf := c.replicas[c.ids[0]].core.Conf()
+	if l := c.leader(); l != nil {
+		conf = l.core.Conf()
+	}
+	lost := 0
+	for _, v := range conf.Voters {
+		if c.replicas[v.ID] == nil {
+			lost++
+		}
+	}
+	return lost > (len(conf.Voters)-1)/2
+}
+
 // TestMissingSyncIsFound shows that the checks find replicas that send before
 // they persist.
 func TestMissingSyncIsFound(t *testing.T) {
@@ -391,6 +423,15 @@
 }
 
 func runBroken(t *rapid.T, c *cluster) {
+	playBroken(func() {
+		for range 300 {
+			c.step(t)
+		}
+	})
+}
+
+// playBroken plays until a check fails.
+func playBroken(play func()) {
 	defer func() {
 		if r := recover(); r != nil {
 			if _, ok := r.(stopped); !ok {
@@ -398,9 +439,7 @@
 			}
 		}
 	}()
-	for range 300 {
-		c.step(t)
-	}
+	play()
 }
 
 // TestALearnerThatNeverAnsweredLacksEverything: a leader whose log is short
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -17,7 +17,7 @@
 		c.preVoteResponse(m)
 		return
 	case MsgVote:
-		if c.hearsLeader() {
+		if c.hearsLeader() && !m.Transfer {
 			return
 		}
 	}
@@ -39,7 +39,7 @@
 func (c *Core) answerStale(m Message) {
 	switch m.Type {
 	case MsgAppend, MsgHeartbeat, MsgSnapshot:
-		c.send(Message{Type: MsgAppendResp, To: m.From, Term: c.state.Term, Reject: true, Hint: c.log.last()})
+		c.sendNow(Message{Type: MsgAppendResp, To: m.From, Term: c.state.Term, Reject: true, Hint: c.log.last()})
 	}
 }
 
@@ -55,7 +55,12 @@
 	case MsgHeartbeat:
 		c.follow(m)
 		c.commitTo(min(m.Commit, m.Index))
-		c.send(Message{Type: MsgHeartbeatResp, To: m.From, Term: c.state.Term, Round: m.Round, Index: c.log.last()})
+		// It is answered at once, also while the disk stalls: a leader that hears a
+		// quorum keeps its lead, and changes go on with those whose disks answer.
+		c.sendNow(Message{
+			Type: MsgHeartbeatResp, To: m.From, Term: c.state.Term, Round: m.Round,
+			Index: c.log.last(), Hint: c.held, Saved: min(c.held, c.log.stable),
+		})
 	case MsgSnapshot:
 		c.follow(m)
 		c.snapshotRequest(m)
@@ -63,6 +68,8 @@
 		c.appendResponse(m)
 	case MsgHeartbeatResp:
 		c.heartbeatResponse(m)
+	case MsgTimeoutNow:
+		c.takeOver(m)
 	}
 }
 
@@ -77,17 +84,19 @@
 func (c *Core) appendRequest(m Message) {
 	if m.Index < c.log.snap.Index {
 		// What lies before the snapshot is committed and so the same.
+		c.held = max(c.held, c.log.commit)
 		c.send(Message{Type: MsgAppendResp, To: m.From, Term: c.state.Term, Index: c.log.commit})
 		return
 	}
 	if t, ok := c.log.term(m.Index); !ok || t != m.LogTerm {
 		hint := min(m.Index-1, c.log.last())
-		c.send(Message{Type: MsgAppendResp, To: m.From, Term: c.state.Term, Index: m.Index, Reject: true, Hint: hint})
+		c.sendNow(Message{Type: MsgAppendResp, To: m.From, Term: c.state.Term, Index: m.Index, Reject: true, Hint: hint})
 		return
 	}
 	c.log.merge(m.Entries)
 	c.refreshConf()
 	last := m.Index + uint64(len(m.Entries))
+	c.held = max(c.held, last)
 	c.commitTo(min(m.Commit, last))
 	c.send(Message{Type: MsgAppendResp, To: m.From, Term: c.state.Term, Index: last})
 }
@@ -108,6 +117,7 @@
 			c.restored = s
 			c.refreshConf()
 		}
+		c.held = max(c.held, c.log.commit)
 	}
 	c.send(Message{Type: MsgAppendResp, To: m.From, Term: c.state.Term, Index: c.log.commit})
 }
@@ -137,16 +147,24 @@
 		}
 		return
 	}
-	if m.Index > p.match {
-		p.match = m.Index
-		p.next = max(p.next, m.Index+1)
-		c.advanceCommit()
-	}
-	if p.next <= c.log.last() {
+	c.confirmSaved(p, m.Index)
+	if c.role == Leader && p.next <= c.log.last() {
 		c.sendAppend(m.From, p)
 	}
 }
 
+// confirmSaved takes in up to which index a replica has persisted the log.
+func (c *Core) confirmSaved(p *progress, index uint64) {
+	if index <= p.match {
+		return
+	}
+	p.match = index
+	p.unsaved = 0
+	p.next = max(p.next, index+1)
+	c.advanceCommit()
+	c.passLead()
+}
+
 func (c *Core) heartbeatResponse(m Message) {
 	p := c.heard(m.From)
 	if p == nil {
@@ -154,19 +172,31 @@
 	}
 	p.round = max(p.round, m.Round)
 	c.confirmReads()
-	stuck := p.match < c.log.last() && p.match == p.beatMatch
-	p.beatMatch = p.match
-	if stuck {
-		// The append or its answer was lost, or the replica is new: what is
-		// not confirmed is sent again.
-		p.next = p.match + 1
-		if p.match == 0 {
-			p.next = min(max(m.Index+1, 1), c.log.last()+1)
-		}
-		c.sendAppend(m.From, p)
+	c.confirmSaved(p, m.Saved)
+	if c.role != Leader {
+		return
+	}
+	if m.Round >= p.beatRound && p.beatNext > 0 {
+		c.sendAgain(m, p)
 	}
 }
 
+// sendAgain sends what was sent before the present round of heartbeats and did not come
+// to the replica: the append or its answer was lost, or the replica is new. What it
+// holds without having persisted it is not sent again.
+func (c *Core) sendAgain(m Message, p *progress) {
+	stuck := p.match < c.log.last() && p.match == p.beatMatch && m.Hint+1 < p.beatNext
+	p.beatMatch, p.beatNext = p.match, 0
+	if !stuck {
+		return
+	}
+	p.next = max(p.match, m.Hint) + 1
+	if p.match == 0 {
+		p.next = min(max(m.Index+1, 1), c.log.last()+1)
+	}
+	c.sendAppend(m.From, p)
+}
+
 // advanceCommit commits what a quorum has persisted, if it is of this term.
 func (c *Core) advanceCommit() {
 	var matches []uint64
@@ -263,9 +293,14 @@
 	c.messages = append(c.messages, m)
 }
 
+// sendNow queues a message that promises nothing of the disk, its term set.
+func (c *Core) sendNow(m Message) {
+	m.From = c.opt.ID
+	c.early = append(c.early, m)
+}
+
 // sendEarly queues a leader's message, which promises nothing of its disk.
 func (c *Core) sendEarly(m Message) {
-	m.From = c.opt.ID
 	m.Term = c.state.Term
-	c.early = append(c.early, m)
+	c.sendNow(m)
 }
--- a/raft/slowdisk_test.go
+++ b/raft/slowdisk_test.go
@@ -11,14 +11,17 @@
 	// slowUnit is the step of the virtual time, and the way of a message.
 	slowUnit = 5 * time.Millisecond
 	slowTick = 25 * time.Millisecond
+	// slowStall is the ticks after which a leader's disk counts as stalled.
+	slowStall = 80
 )
 
-// slowReplica is a replica as a daemon runs it: it takes nothing in while its
-// disk syncs, and of the ticks that pass meanwhile it sees one.
+// slowReplica is a replica as a daemon runs it: it goes on while its disk syncs,
+// with one save under way at most.
 type slowReplica struct {
-	core   *Core
-	inbox  []Message
-	ticked bool
+	core  *Core
+	inbox []Message
+	// phase is when in the time between two ticks the replica has its own.
+	phase time.Duration
 	// saving is what the disk is busy with until done.
 	saving *Ready
 	done   time.Duration
@@ -35,12 +38,15 @@
 // slowGroup plays replicas with slow disks in virtual time.
 type slowGroup struct {
 	now time.Duration
-	// sync is how long a disk takes.
+	// sync is how long a disk takes, and syncs how long those take that differ.
 	sync     time.Duration
+	syncs    map[string]time.Duration
 	replicas map[string]*slowReplica
 	ids      []string
-	cut      string
-	net      []flight
+	// cut and lost are replicas that nothing reaches.
+	cut  string
+	lost map[string]bool
+	net  []flight
 }
 
 func newSlowGroup(seed uint64, n int) *slowGroup {
@@ -50,7 +56,7 @@
 		conf.Voters = append(conf.Voters, Peer{ID: string(rune('a' + i))})
 	}
 	for i, p := range conf.Voters {
-		o := Options{ID: p.ID, Election: 20, Heartbeat: 3, MaxBatch: 256, Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
+		o := Options{ID: p.ID, Election: 20, Heartbeat: 3, MaxBatch: 256, Stall: slowStall, Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
 		c := New(o, State{Term: 1, Commit: 1}, Snapshot{Index: 1, Term: 1, Conf: conf}, nil)
 		s.replicas[p.ID] = &slowReplica{core: c, voted: State{Term: 1}}
 		s.ids = append(s.ids, p.ID)
@@ -58,26 +64,40 @@
 	return s
 }
 
+func (s *slowGroup) reaches(id string) bool { return id != s.cut && !s.lost[id] }
+
 func (s *slowGroup) send(ms []Message) {
 	for _, m := range ms {
-		if m.From != s.cut && m.To != s.cut {
+		if s.reaches(m.From) && s.reaches(m.To) {
 			s.net = append(s.net, flight{s.now + slowUnit, m})
 		}
 	}
 }
 
-// work does what the core wants done, until its disk is busy.
+// syncTime returns how long the disk of a replica takes.
+func (s *slowGroup) syncTime(r *slowReplica) time.Duration {
+	if d, ok := s.syncs[r.core.opt.ID]; ok {
+		return d
+	}
+	return s.sync
+}
+
+// work does what the core wants done now.
 func (s *slowGroup) work(r *slowReplica) {
-	for r.saving == nil {
+	for {
 		rd := r.core.Ready()
 		if rd.Empty() {
 			return
 		}
 		s.send(rd.Early)
+		if !rd.MustSave() {
+			s.send(rd.Messages)
+			continue
+		}
 		r.saving, r.done = &rd, s.now
 		vote := rd.State != nil && (rd.State.Term != r.voted.Term || rd.State.Vote != r.voted.Vote)
 		if len(rd.Entries) > 0 || vote || rd.Snapshot != nil {
-			r.done += s.sync
+			r.done += s.syncTime(r)
 		}
 		if rd.State != nil {
 			r.voted = *rd.State
@@ -116,18 +136,12 @@
 
 // run plays a replica's loop for one unit.
 func (s *slowGroup) run(r *slowReplica) {
-	r.ticked = r.ticked || s.now%slowTick == 0
 	s.saved(r)
-	s.work(r)
-	if r.saving != nil {
-		return
-	}
 	for _, m := range r.inbox {
 		r.core.Step(m)
 	}
 	r.inbox = nil
-	if r.ticked {
-		r.ticked = false
+	if s.now%slowTick == r.phase {
 		r.core.Tick()
 	}
 	s.work(r)
@@ -136,21 +150,15 @@
 // leaderID returns the identity of a leader that is not cut off, or "".
 func (s *slowGroup) leaderID() string {
 	for _, id := range s.ids {
-		if id != s.cut && s.replicas[id].core.Role() == Leader {
+		if s.reaches(id) && s.replicas[id].core.Role() == Leader {
 			return id
 		}
 	}
 	return ""
 }
 
-// leader returns the leader if its disk is idle, else nil.
-func (s *slowGroup) leader() *slowReplica {
-	r := s.replicas[s.leaderID()]
-	if r == nil || r.saving != nil {
-		return nil
-	}
-	return r
-}
+// leader returns the leader, nil if there is none.
+func (s *slowGroup) leader() *slowReplica { return s.replicas[s.leaderID()] }
 
 // slowCommand is the time between two commands.
 const slowCommand = 200 * time.Millisecond
--- a/raft/types.go
+++ b/raft/types.go
@@ -9,7 +9,10 @@
 // they are appended (Ongaro's dissertation, chapter 4).
 //
 // The caller must persist a Ready's State, Snapshot and Entries before it
-// sends its Messages; Early messages may go out before.
+// sends its Messages and calls Advance; Early messages may go out before. While
+// it persists one Ready it goes on with Step, Tick, Propose and Ready: what is to
+// be persisted next gathers in the Core until Advance, so that at most one save
+// is under way and the next one takes all that came meanwhile.
 package raft
 
 import "slices"
@@ -114,6 +117,8 @@
 	MsgHeartbeat
 	MsgHeartbeatResp
 	MsgSnapshot
+	// MsgTimeoutNow asks a voter to stand for election at once.
+	MsgTimeoutNow
 )
 
 // Message is what replicas send each other. It may be lost, doubled, delayed
@@ -129,8 +134,15 @@
 	Commit  uint64
 	Entries []Entry
 	Reject  bool
-	// Hint is the last index worth trying after a rejection.
+	// Hint is the last index worth trying after a rejection, or the last one that
+	// a follower holds of its leader, persisted or not, in a heartbeat's response.
 	Hint uint64
+	// Saved is the last index that a follower holds of its leader and has persisted,
+	// in a heartbeat's response.
+	Saved uint64
+	// Transfer is set in the vote requests of a replica that its leader asked to
+	// stand: voters that still hear the leader answer them.
+	Transfer bool
 	// Round numbers the heartbeats, to confirm reads.
 	Round    uint64
 	Snapshot *Snapshot
@@ -161,7 +173,8 @@
 	OK bool
 }
 
-// Ready is the work that the caller has to do.
+// Ready is the work that the caller has to do. State, Snapshot, Entries and
+// Messages are empty while an earlier Ready is being persisted.
 type Ready struct {
 	// State must be persisted if it is not nil.
 	State *State
@@ -174,14 +187,20 @@
 	Early []Message
 	// Messages may be sent only after all of the above is synced.
 	Messages []Message
-	// Committed are the entries to apply.
+	// Committed are the entries to apply. A quorum has persisted them; this
+	// replica may not have yet.
 	Committed []Entry
 	// Reads are confirmed or failed reads.
 	Reads []Read
 }
 
+// MustSave tells whether there is something to persist.
+func (r *Ready) MustSave() bool {
+	return r.State != nil || r.Snapshot != nil || len(r.Entries) > 0
+}
+
 // Empty tells whether there is nothing to do.
 func (r *Ready) Empty() bool {
-	return r.State == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Early) == 0 &&
-		len(r.Messages) == 0 && len(r.Committed) == 0 && len(r.Reads) == 0
+	return !r.MustSave() && len(r.Early) == 0 && len(r.Messages) == 0 &&
+		len(r.Committed) == 0 && len(r.Reads) == 0
 }
