--- a/raft/core.go
+++ b/raft/core.go
@@ -70,9 +70,11 @@
 	// preVotes are the answers to a pre-vote, and votes those of the current
 	// term while this replica stands for it, nil else.
 	preVotes, votes map[string]bool
-	peers           map[string]*progress
-	round           uint64
-	reads           []pendingRead
+	// yielded is set once this replica has left another the time to win.
+	yielded bool
+	peers   map[string]*progress
+	round   uint64
+	reads   []pendingRead
 
 	// held is the last index known to be as in the leader's log.
 	held uint64
@@ -342,6 +344,7 @@
 	c.state.Vote = ""
 	c.messages = nil
 	c.held = 0
+	c.yielded = false
 }
 
 func (c *Core) becomeFollower(term uint64, leader string) {
--- a/raft/election.go
+++ b/raft/election.go
@@ -65,7 +65,7 @@
 // term: a replica that was cut off does not disturb the others on return.
 func (c *Core) preCampaign() {
 	c.elapsed = 0
-	c.timeout = c.opt.Election + c.opt.Rand.IntN(c.opt.Election)
+	c.timeout = c.retryTime()
 	// Also a learner gives its leader up: its vote may be needed, as it may have
 	// been given one that it does not know of.
 	c.leader = ""
@@ -83,6 +83,28 @@
 	c.askVotes(Message{Type: MsgPreVote, Term: c.state.Term + 1})
 }
 
+// retryPart is the part of an election time after which a replica that stood and did
+// not win stands again: no leader is there, and to wait as long as for the first time
+// would only be for a vote that was split or for voters that heard the lost leader for
+// a moment longer.
+const retryPart = 4
+
+// retryTime draws the time until the next try.
+func (c *Core) retryTime() int {
+	part := max(1, c.opt.Election/retryPart)
+	return part + c.opt.Rand.IntN(part)
+}
+
+// yield leaves a candidate the time to win, once until a leader is heard or a term
+// ends: two that stand at the same time split the votes.
+func (c *Core) yield() {
+	if c.yielded {
+		return
+	}
+	c.yielded = true
+	c.timeout = max(c.timeout, c.elapsed+max(1, c.opt.Election/retryPart))
+}
+
 // campaign stands for election. A transfer is one that the leader asked for.
 func (c *Core) campaign(transfer bool) {
 	c.role = Candidate
@@ -156,9 +178,12 @@
 		resp = MsgPreVoteResp
 	}
 	grant := c.log.upToDate(m.Index, m.LogTerm) && c.mayVote(m)
-	if grant && m.Type == MsgVote {
+	switch {
+	case grant && m.Type == MsgVote:
 		c.state.Vote = m.From
 		c.elapsed = 0
+	case grant:
+		c.yield()
 	}
 	term := c.state.Term
 	if grant {
@@ -199,6 +224,7 @@
 		c.becomeLeader()
 	case c.role == Candidate && c.lost(c.votes):
 		c.becomeFollower(c.state.Term, "")
+		c.timeout = c.retryTime()
 	}
 }
 
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -79,6 +79,7 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.elapsed = 0
+	c.yielded = false
 }
 
 func (c *Core) appendRequest(m Message) {
