Take the decision on retries, and when to come back, out of the node's package

A model of the fleet has to take them as the daemon does, and they stood in its shell. No behaviour is changed. The test of the time to come back uses the figure's new name; its bounds are the same.

--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/rank"
+	"github.com/umberthread/umberthread/retry"
 	"github.com/umberthread/umberthread/route"
 	"github.com/umberthread/umberthread/settings"
 )
@@ -51,8 +53,8 @@
 	// failure, for the log.
 	trail  strings.Builder
 	detail string
-	// repicks counts the attempts that cost no retry.
-	repicks int
+	// free counts the attempts that cost no retry.
+	free int
 	// mayHaveRun is set if a backend server may have seen an attempt.
 	mayHaveRun bool
 	// callerLeft is set when the caller closed its connection. A call can also
@@ -124,9 +126,9 @@
 	e := fault.New(code, detail)
 	switch code {
 	case fault.Overload, fault.QueueTimeout, fault.ShareSpent, fault.Rejected:
-		e.RetryAfter = comeBackInTime(l, c.policy.ObjectiveWithin)
+		e.RetryAfter = retry.ComeBackInTime(l, c.policy.ObjectiveWithin, rand.Float64())
 	case fault.NoBackend, fault.Draining, fault.Starting:
-		e.RetryAfter = comeBack(l)
+		e.RetryAfter = retry.ComeBack(l, rand.Float64())
 	}
 	return e
 }
--- a/internal/node/comeback_test.go
+++ b/internal/node/comeback_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/rank"
+	"github.com/umberthread/umberthread/retry"
 	"github.com/umberthread/umberthread/settings"
 )
 
@@ -23,7 +24,7 @@
 				back := c.refusal(fault.Overload, "", level).RetryAfter
 				g.Expect(back).To(gomega.BeNumerically(">", 0))
 				g.Expect(back).To(gomega.BeNumerically("<=", objective/2))
-				g.Expect(back).To(gomega.BeNumerically("<=", 3*comeBackMax/2))
+				g.Expect(back).To(gomega.BeNumerically("<=", 3*retry.ComeBackMax/2))
 			}
 		}
 		away := c.refusal(fault.NoBackend, "", rank.Count/2).RetryAfter
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -14,6 +14,7 @@
 	"github.com/umberthread/umberthread/internal/pathlevel"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/rank"
+	"github.com/umberthread/umberthread/retry"
 	"github.com/umberthread/umberthread/route"
 	"github.com/umberthread/umberthread/settings"
 )
@@ -166,30 +167,31 @@
 const baselineRetries = 3
 
 // mayRetry decides whether a failed call is sent once more, and pays for it.
-//
-// It may be sent only if it certainly was not run or may run twice. An
-// overloaded instance's refusal is tried once at another instance, by the node
-// that chose the instance and by none above it.
 func (n *Node) mayRetry(c *call, in *route.Instance, e *fault.Error, retries *budget.Share) bool {
-	if !c.replayable() || c.scope.Err() != fault.None {
+	if c.scope.Err() != fault.None {
 		return false
 	}
 	if c.policy.Mode != admission.ModeFull {
-		return c.attempts <= baselineRetries
+		return c.replayable() && c.attempts <= baselineRetries
 	}
+	f := retry.Failure{Chosen: in != nil}
 	if e != nil {
-		if e.Run != fault.RunNo && !c.policy.Idempotent {
-			return false
-		}
-		if !retryHelps(c, in, e.Code) {
-			return false
-		}
+		f.Code, f.Run = e.Code, e.Run
 	}
-	if e != nil && neverOffered(e) && c.repicks < maxRepicks {
-		c.repicks++
+	switch retry.Decide(c.retryState(), f) {
+	case retry.Free:
+		c.free++
 		return true
+	case retry.Paid:
+		return n.payRetry(c, retries)
+	default:
+		return false
 	}
-	if !c.mayGoOn(in, e) || !c.pool.Spend() {
+}
+
+// payRetry takes a retry from the call's pool and from the share of its service.
+func (n *Node) payRetry(c *call, retries *budget.Share) bool {
+	if !c.pool.Spend() {
 		return false
 	}
 	if !retries.Spend(n.clock(), c.rank, retryLimits(c.policy)) {
@@ -199,6 +201,14 @@
 	return true
 }
 
+// retryState is what the decision about a retry looks at.
+func (c *call) retryState() retry.Call {
+	return retry.Call{
+		Replayable: c.replayable(), Idempotent: c.policy.Idempotent,
+		Attempts: c.attempts, Free: c.free, Offered: len(c.sentTo), OfferMax: c.policy.AttemptsMax,
+	}
+}
+
 // noteOffer remembers the instances whose backend servers were offered the call.
 func (c *call) noteOffer(in *route.Instance, e *fault.Error) {
 	offered := e == nil || e.Run != fault.RunNo || e.Code == fault.Rejected
@@ -215,49 +225,6 @@
 	return c.sentTo
 }
 
-// mayGoOn tells whether another backend server may be asked. Where the call
-// has been sent to as many as it may, one that turned it away may be asked
-// again: one that turns away half of the requests takes the next with the
-// same chance.
-func (c *call) mayGoOn(in *route.Instance, e *fault.Error) bool {
-	if c.policy.AttemptsMax == 0 || len(c.sentTo) < c.policy.AttemptsMax {
-		return true
-	}
-	return e != nil && e.Code == fault.Rejected && in != nil
-}
-
-// maxRepicks is how often a request is sent to another node at no cost: a
-// leaving instance is heard of late, and rarely two in a row.
-const maxRepicks = 3
-
-// neverOffered tells whether a failed attempt certainly ended before any
-// backend server, so that trying another makes no load for any.
-func neverOffered(e *fault.Error) bool {
-	if e.Run != fault.RunNo {
-		return false
-	}
-	switch e.Code {
-	case fault.Draining, fault.Starting, fault.NoBackend, fault.PeerLost, fault.BackendLost:
-		return true
-	default:
-		return false
-	}
-}
-
-// retryHelps tells whether another instance may do better.
-func retryHelps(c *call, in *route.Instance, code fault.Code) bool {
-	switch code {
-	case fault.Overload, fault.QueueTimeout:
-		return c.attempts == 1 && in != nil
-	case fault.NoBackend:
-		return in != nil
-	case fault.PeerLost, fault.PeerSilent, fault.BackendLost, fault.Draining, fault.Starting, fault.Protocol, fault.Rejected:
-		return true
-	default:
-		return false
-	}
-}
-
 // attempt sends the call to one instance.
 func (n *Node) attempt(c *call) (*answer, *route.Instance, *fault.Error) {
 	c.attempts++
@@ -353,7 +320,7 @@
 	req := &wire.Request{
 		Attempt: n.attempts.Add(1), ID: c.id, Root: c.root, Target: c.target,
 		Remaining: c.scope.Remaining(), Rank: c.rank, Depth: c.depth, Lease: uint8(lease),
-		Repeat: c.repeat || c.attempts-c.repicks > 1,
+		Repeat: c.repeat || c.attempts-c.free > 1,
 		Method: c.method, Path: c.path, BodyLen: c.bodyLen, Header: c.header,
 	}
 	wa, err := n.peers.client(in.Addr, c.policy.Silence).Do(c.scope, req, c.body, c.stream)
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -12,6 +12,7 @@
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/pathlevel"
 	"github.com/umberthread/umberthread/rank"
+	"github.com/umberthread/umberthread/retry"
 )
 
 // fleetModel replays in virtual time how nodes learn of an overload: callers,
@@ -171,7 +172,7 @@
 	}
 	l := m.entries[r.entry].Level(modelNames[r.kind], m.now)
 	if !l.Admits(r.rank, 0) {
-		m.refuse(r, comeBackMean(l))
+		m.refuse(r, retry.ComeBack(l, 0.5))
 		return
 	}
 	m.after(m.draw(modelAbove[r.kind]), func() { m.call(r) })
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/umberthread/umberthread/claims"
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/wire"
+	"github.com/umberthread/umberthread/retry"
 )
 
 const (
@@ -48,7 +50,7 @@
 	default:
 		ferr := fault.New(res.Verdict.Code(), verdictText[res.Verdict])
 		if res.Verdict == claims.Running {
-			ferr.RetryAfter = comeBack(0)
+			ferr.RetryAfter = retry.ComeBack(0, rand.Float64())
 		}
 		if res.Verdict == claims.Running || res.Verdict == claims.Unknown {
 			ferr.Run = fault.RunUnknown
@@ -105,7 +107,7 @@
 	}
 	// Nothing was sent to a backend server on this token.
 	e := fault.New(ferr.Code, "the key could not be claimed: "+ferr.Detail)
-	e.RetryAfter = comeBack(0)
+	e.RetryAfter = retry.ComeBack(0, rand.Float64())
 	return res, e
 }
 
