Let urgent requests wait on a called service in more of the slots

Load: a scarce service turns half of its work away or is slow, and its callers hold their slots meanwhile. At most 0.8 of a server's slots may wait on one service, for all alike: a chain of the most urgent kind was refused in its midst for the sake of slots in which less urgent ones wait. Now the lowest class may have the share, the highest all slots, those between in proportion.

--- /dev/null
+++ b/admission/waits_test.go
@@ -0,0 +1,43 @@
+package admission
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/rank"
+)
+
+// A called service hangs and requests of the lowest class wait on it in all the slots
+// that they may have: those that do not need it find slots, and a chain of the highest
+// class is not refused in its midst for them.
+func TestWaitsLeaveRoomForTheUrgent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const slots, share = 100, 0.8
+	var w Waits
+	take := func(class rank.Class) int {
+		n := 0
+		for w.Take(slots, share, rank.Make(class, 0)) {
+			n++
+		}
+		return n
+	}
+	low := take(rank.Background)
+	g.Expect(low).To(gomega.BeNumerically("<=", share*slots))
+	g.Expect(w.Take(slots, share, rank.Make(rank.Background, 255))).To(gomega.BeFalse())
+	g.Expect(take(rank.Important)).To(gomega.BeNumerically(">", 0))
+	g.Expect(take(rank.Protected)).To(gomega.BeNumerically(">", 0))
+	g.Expect(w.Take(slots, share, rank.Make(rank.Protected, 255))).To(gomega.BeFalse(), "all slots wait")
+	for range slots {
+		w.Release()
+	}
+	g.Expect(take(rank.Background)).To(gomega.Equal(low))
+}
+
+// One wait is always allowed: a server with a single slot makes calls as well.
+func TestWaitsOfASingleSlot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var w Waits
+	g.Expect(w.Take(1, 0.8, rank.Make(rank.Background, 0))).To(gomega.BeTrue())
+	g.Expect(w.Take(1, 0.8, rank.Make(rank.Background, 0))).To(gomega.BeFalse())
+}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -38,11 +38,11 @@
 		}
 	}
 	if c.depth > 0 {
-		share, ok := n.takeShare(c)
+		waits, ok := n.takeWait(c)
 		if !ok {
 			return nil, c.refusal(fault.ShareSpent, "too many requests here wait on this service", rank.Count/4)
 		}
-		defer share.Add(-1)
+		defer waits.Release()
 		defer c.parent.finished.Add(1)
 	}
 	n.stats.calls.Add(1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/umberthread/umberthread/admission"
 	"github.com/umberthread/umberthread/budget"
 	"github.com/umberthread/umberthread/burn"
 	"github.com/umberthread/umberthread/fault"
@@ -57,7 +58,7 @@
 	peers           peers
 	kinds           kindTable
 	retryShares     sync.Map // service -> *budget.Share
-	shares          sync.Map // called service -> *atomic.Int32
+	waits           sync.Map // called service -> *admission.Waits
 
 	gate    *gate
 	local   atomic.Pointer[local]
@@ -462,26 +463,20 @@
 	return v.(*budget.Share)
 }
 
-// takeShare counts a nested call against the share of this node's slots that
-// may wait on one called service. A service that slows down thus cannot take
-// the slots of the requests that do not need it.
-func (n *Node) takeShare(c *call) (*atomic.Int32, bool) {
-	v, ok := n.shares.Load(c.service)
+// takeWait counts a nested call against the share of this node's slots that may wait
+// on one called service.
+func (n *Node) takeWait(c *call) (*admission.Waits, bool) {
+	v, ok := n.waits.Load(c.service)
 	if !ok {
-		v, _ = n.shares.LoadOrStore(c.service, &atomic.Int32{})
+		v, _ = n.waits.LoadOrStore(c.service, &admission.Waits{})
 	}
-	share := v.(*atomic.Int32)
+	w := v.(*admission.Waits)
 	be := n.local.Load()
 	if be == nil {
-		share.Add(1)
-		return share, true
+		w.Hold()
+		return w, true
 	}
-	most := max(1, int32(float64(be.slots)*c.policy.ShareMax))
-	if share.Add(1) > most {
-		share.Add(-1)
-		return nil, false
-	}
-	return share, true
+	return w, w.Take(be.slots, c.policy.ShareMax, c.rank)
 }
 
 // noteFailure tells about an instance that this node could not reach.
