Avoid servers whose answers do not come before their callers' deadlines

No answer of theirs comes before the deadline, so that their usual time was never learnt: they looked as fast as before, and got a quarter of the calls to the end.

Change: an answer that was waited for longer than the instance usually takes counts for its share of failures, by which it is avoided; an instance that was drawn and is avoided so is compared with up to eight more. A request that had little time left blames nobody.

Test: 10 servers, 4 slow: 0.18 of the calls met one, at most 0.055 expected (a chain of four then meets one at most in a fifth of cases); passes now, and each has its part again later.

With deadlines of 0.7 s the time waited is never three times the usual time under load.

--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -327,7 +327,11 @@
 	if err != nil {
 		c.pool.Lose(lease)
 		ferr := fault.From(err)
-		in.Seen.End(n.clock(), route.Report{Failed: instanceFailed(nil, ferr)}, n.eject(c))
+		report := route.Report{Failed: instanceFailed(nil, ferr)}
+		if ferr.Code == fault.Deadline {
+			report.Waited = n.clock() - now
+		}
+		in.Seen.End(n.clock(), report, n.eject(c))
 		if instanceFailed(nil, ferr) {
 			n.noteFailure(in, ferr)
 		}
--- a/route/failing_test.go
+++ b/route/failing_test.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 	"time"
 
@@ -75,3 +77,70 @@
 	g.Expect(code).To(gomega.Equal(fault.None))
 	g.Expect(in).To(gomega.Equal(own[1]))
 }
+
+// Two fifths of the servers of a service become so slow that no answer of theirs comes
+// before the callers' deadline, so that there are no times by which they could be told.
+// A chain of four calls must not meet one of them more than one time in five.
+func TestServersThatMissDeadlinesAreAvoidedAndTriedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		servers, slow  = 10, 4
+		usual          = 150 * time.Millisecond
+		deadline       = 700 * time.Millisecond
+		perSecond      = 200
+		mostMet        = 0.055
+		learn, measure = 3 * time.Second, 6 * time.Second
+	)
+	own := instances("a", servers)
+	s := snapshot(own)
+	r := rng()
+	type ending struct {
+		at time.Duration
+		in *Instance
+		r  Report
+	}
+	var open []ending
+	met, sent := 0, 0
+	for now := time.Duration(0); now < learn+measure; now += time.Second / perSecond {
+		for len(open) > 0 && open[0].at <= now {
+			open[0].in.Seen.End(open[0].at, open[0].r, EjectOptions{Failures: 1000, Time: time.Second})
+			open = open[1:]
+		}
+		in, code := s.Pick(query(now), r)
+		g.Expect(code).To(gomega.Equal(fault.None))
+		in.Seen.Begin()
+		end := ending{now + usual, in, Report{Took: usual}}
+		bad := slices.Index(own, in) < slow
+		if bad {
+			end = ending{now + deadline, in, Report{Waited: deadline}}
+		}
+		at, _ := slices.BinarySearchFunc(open, end, func(a, b ending) int { return cmp.Compare(a.at, b.at) })
+		open = slices.Insert(open, at, end)
+		if now >= learn {
+			sent++
+			if bad {
+				met++
+			}
+		}
+	}
+	g.Expect(float64(met) / float64(sent)).To(gomega.BeNumerically("<", mostMet))
+	// They are sound again: each has its part a while later.
+	later := learn + measure + 10*time.Second
+	for _, in := range own[:slow] {
+		g.Expect(share(s, in, later)).To(gomega.BeNumerically(">", 0.3/servers))
+	}
+}
+
+// A request that had little time left says nothing of the server that it was given up at.
+func TestServersAreNotBlamedForShortDeadlines(t *testing.T) {
+	g := gomega.NewWithT(t)
+	own := instances("a", 2)
+	for _, in := range own {
+		attempts(in, 100, 0, 0, 200*time.Millisecond)
+	}
+	for range 50 {
+		own[0].Seen.Begin()
+		own[0].Seen.End(0, Report{Waited: 100 * time.Millisecond}, EjectOptions{Failures: 5, Time: time.Second})
+	}
+	g.Expect(share(snapshot(own), own[0], 0)).To(gomega.BeNumerically("~", 0.5, 0.1))
+}
--- a/route/instance.go
+++ b/route/instance.go
@@ -97,6 +97,9 @@
 	InFlight, Limit uint16
 	// Took is the time until the answer, zero if there was none.
 	Took time.Duration
+	// Waited is how long an answer was waited for that did not come in time, else
+	// zero.
+	Waited time.Duration
 }
 
 // latencyKeep is the share of the old mean that a new sample leaves. The kinds
@@ -154,7 +157,7 @@
 // cannot be told by failures in a row.
 func (o *Observed) observeFailure(now time.Duration, r Report) {
 	x := 0.0
-	if r.Failed || r.Rejected {
+	if r.Failed || r.Rejected || o.late(r) {
 		x = 1
 	} else if o.Ejected() {
 		// A probe went well: the ejected instance starts afresh.
@@ -170,6 +173,14 @@
 	o.failingAt.Store(int64(now))
 }
 
+// late tells whether the instance, not the time that the request had left, was the
+// reason that an answer did not come: it was waited for longer than answers usually
+// take. A server that has become too slow for the deadlines of its callers has no
+// answers by which it could be told.
+func (o *Observed) late(r Report) bool {
+	return r.Waited.Seconds() > math.Float64frombits(o.latency.Load())
+}
+
 func (o *Observed) failingShare(now time.Duration) float64 {
 	share := math.Float64frombits(o.failing.Load())
 	if share == 0 {
--- a/route/picker.go
+++ b/route/picker.go
@@ -302,7 +302,7 @@
 		}
 	}
 	if best != nil {
-		return best, fault.None
+		return q.notFailing(best, ins, r), fault.None
 	}
 	from := r.IntN(n)
 	for i := range n {
@@ -316,6 +316,24 @@
 	return nil, code
 }
 
+// notFailing returns the best of some more instances if the one that was drawn fails a
+// share of its requests. Where two fifths of a service do, both draws are such in one of
+// six, and a chain of four calls meets one every second time.
+func (q *Query) notFailing(drawn *Instance, ins []*Instance, r Rand) *Instance {
+	if drawn.Seen.penalty(q.Now) == 0 || len(ins) <= 2 {
+		return drawn
+	}
+	best := drawn
+	from := r.IntN(len(ins))
+	for i := range min(len(ins), sampleMax) {
+		in := ins[(from+i)%len(ins)]
+		if q.admits(in, ins) == fault.None && q.better(in, best) {
+			best = in
+		}
+	}
+	return best
+}
+
 // worse prefers Overload, the more telling of the two reasons.
 func worse(a, b fault.Code) fault.Code {
 	if a == fault.Overload {
