--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -80,6 +80,12 @@
 	studies.Flag("out", "Folder for the plot.").StringVar(&st.out)
 	runs[studies.FullCommand()] = func() error { return runStudy(st) }
 
+	models := app.Command("model", "A whole fleet under load in virtual time: the share that is earned of what requests are worth.")
+	var mo modelOptions
+	models.Flag("load", "Load to play, all if none is named. Repeat for more.").EnumsVar(&mo.loads, loadNames()...)
+	models.Flag("seeds", "How many times each is played.").Default("5").IntVar(&mo.seeds)
+	runs[models.FullCommand()] = func() error { return runModel(mo) }
+
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if *bin == "" {
 		self, err := os.Executable()
--- /dev/null
+++ b/cmd/umberbench/model.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/fleetmodel"
+)
+
+type modelOptions struct {
+	loads []string
+	seeds int
+}
+
+// loadNames returns the loads that the model can play, in order.
+func loadNames() []string {
+	var names []string
+	for name := range fleetmodel.Loads {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// runModel plays each load with some seeds and prints a table.
+func runModel(o modelOptions) error {
+	if len(o.loads) == 0 {
+		o.loads = loadNames()
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "load\tworth\tdeviation\tby kind")
+	for _, name := range o.loads {
+		load, ok := fleetmodel.Loads[name]
+		if !ok {
+			return fault.Newf(fault.NotFound, "load %q; known are %v", name, loadNames())
+		}
+		printModel(w, name, playLoad(name, load(), o.seeds))
+	}
+	return w.Flush()
+}
+
+// playLoad plays a fleet once for each seed.
+func playLoad(name string, f fleetmodel.Fleet, seeds int) []*fleetmodel.Result {
+	var all []*fleetmodel.Result
+	for seed := range seeds {
+		began := time.Now()
+		all = append(all, fleetmodel.Run(f, uint64(seed)))
+		fmt.Fprintf(os.Stderr, "%s: seed %d of %d took %s\n", name, seed+1, seeds, time.Since(began).Round(time.Millisecond))
+	}
+	return all
+}
+
+func printModel(w *tabwriter.Writer, name string, all []*fleetmodel.Result) {
+	var worths []float64
+	byKind := map[string][]float64{}
+	var kinds []string
+	for _, r := range all {
+		worths = append(worths, r.Worth())
+		for kind, k := range r.Kinds {
+			if byKind[kind] == nil {
+				kinds = append(kinds, kind)
+			}
+			byKind[kind] = append(byKind[kind], k.Share())
+		}
+	}
+	slices.Sort(kinds)
+	mean, deviation := stat.MeanStdDev(worths, nil)
+	_, _ = fmt.Fprintf(w, "%s\t%.3f\t%.3f\t", name, mean, deviation)
+	for _, kind := range kinds {
+		_, _ = fmt.Fprintf(w, "%s %.3f  ", kind, stat.Mean(byKind[kind], nil))
+	}
+	_, _ = fmt.Fprintln(w)
+}
