Wait for slow work that can't be sent again

An upload that its server had in work was answered with 502 at 3.0 s, while the node by which it had entered was stopping.

Cause, from the code: a connection counted as silent after four times the slowest recent answer of its kind, and one upload in a hundred takes five times as long as the others. Ruled out: the stop itself, which ends nothing at 1.8 s.

Change: only idempotent requests are given up as silent. The test failed first (peer-silent after 0.6 s). The tests of silent connections send idempotent requests now, as the client asks; their checks are as they were.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -108,13 +108,20 @@
 	r.conn = nil
 }
 
+// Traits are what Do needs to know of a request beside what it sends.
+type Traits struct {
+	// Kind tells which requests take alike long, below MaxKinds.
+	Kind uint8
+	// Idempotent tells whether the request may run more than once.
+	Idempotent bool
+}
+
 // Do sends a request and reads the head of the answer. The error's Run is
 // RunNo only if the request cannot have reached the server whole.
 //
-// kind tells which requests take alike long, below MaxKinds. mine tells whether
-// an answer belongs to the request, nil if all do; one that does not is read and passed over,
+// mine tells whether an answer belongs to the request, nil if all do; one that does not is read and passed over,
 // as a server may send an answer too many on a connection that is used again.
-func (c *Client) Do(s *scope.Scope, kind uint8, req *http.Request, mine func(*http.Response) bool) (*Response, error) {
+func (c *Client) Do(s *scope.Scope, t Traits, req *http.Request, mine func(*http.Response) bool) (*Response, error) {
 	cn, err := c.get(s)
 	if err != nil {
 		return nil, err
@@ -123,7 +130,7 @@
 		c.put(cn)
 		return nil, fault.New(s.Err(), "given up before it was sent")
 	}
-	resp, err := c.exchange(s, cn, kind%MaxKinds, req, mine)
+	resp, err := c.exchange(s, cn, t, req, mine)
 	if err != nil {
 		s.Unbind()
 		c.lost.Add(1)
@@ -133,7 +140,7 @@
 	return &Response{Response: resp, c: c, conn: cn, s: s}, nil
 }
 
-func (c *Client) exchange(s *scope.Scope, cn *conn, kind uint8, req *http.Request, mine func(*http.Response) bool) (*http.Response, error) {
+func (c *Client) exchange(s *scope.Scope, cn *conn, t Traits, req *http.Request, mine func(*http.Response) bool) (*http.Response, error) {
 	_ = cn.SetDeadline(s.Deadline())
 	if err := req.Write(cn.bw); err != nil {
 		return nil, c.explain(s, err, "sending to")
@@ -145,10 +152,11 @@
 		return nil, fault.New(s.Err(), "given up while waiting").Unknown()
 	}
 	sent := time.Now()
-	if err := c.awaitFirstByte(s, cn, &c.times[kind]); err != nil {
+	times := &c.times[t.Kind%MaxKinds]
+	if err := c.awaitFirstByte(s, cn, times, t.Idempotent); err != nil {
 		return nil, err
 	}
-	c.times[kind].observe(time.Since(sent))
+	times.observe(time.Since(sent))
 	for foreign := 0; ; {
 		resp, err := http.ReadResponse(cn.br, req)
 		if err != nil {
@@ -190,7 +198,11 @@
 // answer. It counts as silent when the answer takes several times longer than
 // the slowest recent one of its kind; the server counts as lost when it no
 // longer takes new connections either.
-func (c *Client) awaitFirstByte(s *scope.Scope, cn *conn, t *firstByte) error {
+//
+// Only an idempotent request is given up as silent: it can be sent again. Of another one
+// the server may be at work for longer than is usual, and to end it would lose what
+// can't be asked for again.
+func (c *Client) awaitFirstByte(s *scope.Scope, cn *conn, t *firstByte, idempotent bool) error {
 	start := time.Now()
 	for {
 		wait := time.Now().Add(c.opt.Quiet)
@@ -213,7 +225,7 @@
 		if !c.Reachable() {
 			return fault.New(fault.BackendLost, "the backend server no longer takes connections").Unknown()
 		}
-		if t.silent(time.Since(start)) {
+		if idempotent && t.silent(time.Since(start)) {
 			return fault.New(fault.PeerSilent, "no answer on this connection long after others were answered").Unknown()
 		}
 	}
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -31,7 +31,7 @@
 }
 
 func get(c *Client, path string, limit time.Duration) (string, *fault.Error) {
-	resp, err := c.Do(scope.New(time.Now().Add(limit)), 1, request(path, []byte("in")), nil)
+	resp, err := c.Do(scope.New(time.Now().Add(limit)), Traits{Kind: 1, Idempotent: true}, request(path, []byte("in")), nil)
 	if err != nil {
 		return "", fault.From(err)
 	}
@@ -97,6 +97,35 @@
 	g.Expect(body).To(gomega.Equal("/a in"))
 }
 
+// TestSlowWorkThatMayRunOnceIsNotCut: one request in many takes far longer than the
+// others of its kind. It can't be sent again, so it is waited for.
+func TestSlowWorkThatMayRunOnceIsNotCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const slow = 600 * time.Millisecond
+	_, addr, _ := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(slow)
+		}
+		echo(w, r)
+	})
+	c := New(addr, options())
+	once := Traits{Kind: 1}
+	send := func(path string) *fault.Error {
+		resp, err := c.Do(scope.New(time.Now().Add(5*time.Second)), once, request(path, []byte("in")), nil)
+		if err != nil {
+			return fault.From(err)
+		}
+		defer resp.Close()
+		_, err = io.ReadAll(resp)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return nil
+	}
+	for range enoughSamples + 1 {
+		g.Expect(send("/fast")).To(gomega.BeNil())
+	}
+	g.Expect(send("/slow")).To(gomega.BeNil())
+}
+
 func TestConnectionsStayWithinTheDeclaredNumber(t *testing.T) {
 	g := gomega.NewWithT(t)
 	hold := make(chan struct{})
@@ -143,7 +172,7 @@
 	for range 3 {
 		req := request("/a", nil)
 		req.Method = http.MethodHead
-		resp, err := c.Do(scope.New(time.Now().Add(time.Second)), 1, req, nil)
+		resp, err := c.Do(scope.New(time.Now().Add(time.Second)), Traits{Kind: 1, Idempotent: true}, req, nil)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		b, err := io.ReadAll(resp)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
