--- a/settings/key.go
+++ b/settings/key.go
@@ -173,7 +173,7 @@
 	durationKey("queue_wait", "1s", time.Millisecond, 10*time.Second, AtService, "Longest wait in the queue; at most four mean service times are used of it.", func(p *Policy) *time.Duration { return &p.QueueWait }),
 	durationKey("queue_target", "3ms", 100*time.Microsecond, time.Second, AtService, "Least mean wait above which the admission level rises; three quarters of the mean service time where that is longer.", func(p *Policy) *time.Duration { return &p.QueueTarget }),
 	durationKey("window", "100ms", 10*time.Millisecond, 5*time.Second, AtService, "Period of the admission control loop.", func(p *Policy) *time.Duration { return &p.Window }),
-	shareKey("share_max", "0.8", AtService, "Share of a backend server's slots that may wait on one called service.", func(p *Policy) *float64 { return &p.ShareMax }),
+	shareKey("share_max", "0.8", AtService, "Share of a backend server's slots that background requests may wait in on one called service; protected ones may in all, those between in proportion.", func(p *Policy) *float64 { return &p.ShareMax }),
 	intKey("body_max", "16777216", 0, 1<<30, AtKind, "Largest body taken, in bytes.", func(p *Policy) *int { return &p.BodyMax }),
 	intKey("replay_max", "65536", 0, 1<<20, AtKind, "Largest body kept for a retry, in bytes.", func(p *Policy) *int { return &p.ReplayMax }),
 	shareKey("spill_at", "0.7", AtService, "Utilisation of the own failure domain from which requests spill over to others.", func(p *Policy) *float64 { return &p.SpillAt }),
