--- a/budget/share.go
+++ b/budget/share.go
@@ -125,9 +125,8 @@
 	// are remembered for about five ticks.
 	wantedKeep = 0.8
 	// haste is how much faster than evenly over a window protected requests may
-	// spend what is left. At 1.5 a failure that lasts nine tenths of a window
-	// gets all of it, and a longer one goes without for a twentieth of a window;
-	// at 1 the first gets a tenth less.
+	// spend what is left: a failure that ends within the window gets all of it, and a
+	// longer one goes without for a moment.
 	haste = 1.5
 	// freely is how many retries may be wanted within the memory before any is
 	// denied for its rank: a few failures say nothing of a scarcity.
--- a/discovery/core.go
+++ b/discovery/core.go
@@ -39,9 +39,7 @@
 const (
 	// lookEvery is the time between two looks at lost addresses by all members of a
 	// failure domain together: each waits as many times longer as there are members.
-	// Replicas that had all lost power had their settings in force everywhere 0.13 s
-	// (median) to 0.37 s after their return, 3.4 s to 16.6 s without looks (some 200
-	// returns in virtual time).
+	// Replicas that come back after all were lost are met within a few such times.
 	lookEvery = 100 * time.Millisecond
 	// lookTimeout bounds a look: many round trips between domains, and short, as
 	// most addresses that are looked at do not answer.
--- a/internal/latency/latency.go
+++ b/internal/latency/latency.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// bounds are the upper bounds of the histograms' buckets. The known
-// objectives lie between 300 ms and 2 s, deadlines at 8 s.
+// bounds are the upper bounds of the histograms' buckets. They are closest where
+// objectives lie.
 var bounds = [...]time.Duration{
 	5 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
 	400 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 6 * time.Second,
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -283,8 +283,7 @@
 // copyBufferBytes takes the usual answers in one piece.
 const copyBufferBytes = 16 << 10
 
-// copyBody copies an answer to its caller. io.Copy would take a new buffer of
-// 32 KB for each: 60% of what a request allocated.
+// copyBody copies an answer to its caller. io.Copy would take a new buffer for each.
 func copyBody(w io.Writer, body io.Reader) error {
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
