--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -317,8 +317,11 @@
 	health := map[string]repair.Health{}
 	for _, p := range append(append([]raft.Peer(nil), conf.Voters...), conf.Learners...) {
 		if ticks, lag, ok := g.core.Silent(p.ID); ok {
-			// A replica whose disk confirms nothing is as good as silent.
-			ticks = max(ticks, g.core.Unsaved(p.ID))
+			if conf.Voter(p.ID) {
+				// A voter whose disk confirms nothing is as good as silent; a learner
+				// may be at work on a large snapshot.
+				ticks = max(ticks, g.core.Unsaved(p.ID))
+			}
 			health[p.ID] = repair.Health{Silent: time.Duration(ticks) * raftTick, Lag: lag}
 		}
 	}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -82,6 +82,10 @@
 	c.yielded = false
 }
 
+// maxUnsaved is how many entries a replica whose disk stalls takes in: its memory ends,
+// and what it does not take is sent again.
+const maxUnsaved = 1 << 14
+
 func (c *Core) appendRequest(m Message) {
 	if m.Index < c.log.snap.Index {
 		// What lies before the snapshot is committed and so the same.
@@ -94,6 +98,9 @@
 		c.sendNow(Message{Type: MsgAppendResp, To: m.From, Term: c.state.Term, Index: m.Index, Reject: true, Hint: hint})
 		return
 	}
+	if c.saving && c.log.last()-min(c.log.stable, c.log.last()) >= maxUnsaved && m.Index+uint64(len(m.Entries)) > c.log.last() {
+		return
+	}
 	c.log.merge(m.Entries)
 	c.refreshConf()
 	last := m.Index + uint64(len(m.Entries))
@@ -288,12 +295,22 @@
 	c.sendEarly(Message{Type: MsgSnapshot, To: id, Snapshot: &snap})
 }
 
-// send queues a message that promises what must be persisted first.
+// send queues a message that promises what must be persisted first. Of confirmed
+// entries the last word says all: while a disk stalls no more than it is kept.
 func (c *Core) send(m Message) {
 	m.From = c.opt.ID
+	if last := len(c.messages) - 1; last >= 0 && confirms(&c.messages[last], &m) {
+		c.messages[last].Index = max(c.messages[last].Index, m.Index)
+		return
+	}
 	c.messages = append(c.messages, m)
 }
 
+// confirms tells whether two messages confirm entries to one leader.
+func confirms(a, b *Message) bool {
+	return a.Type == MsgAppendResp && b.Type == MsgAppendResp && a.To == b.To && a.Term == b.Term && !a.Reject && !b.Reject
+}
+
 // sendNow queues a message that promises nothing of the disk, its term set.
 func (c *Core) sendNow(m Message) {
 	m.From = c.opt.ID
--- a/raft/stall_test.go
+++ b/raft/stall_test.go
@@ -302,3 +302,24 @@
 		}
 	}
 }
+
+// A follower's disk never answers again, and the group goes on: what the follower keeps
+// for it is bounded.
+func TestStalledFollowerKeepsLittle(t *testing.T) {
+	conf := Conf{Voters: []Peer{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	o := Options{ID: "c", Election: 10, Heartbeat: 2, MaxBatch: 4, Rand: rand.New(rand.NewPCG(1, 1))}
+	c := New(o, State{Term: 2, Commit: 1}, Snapshot{Index: 1, Term: 1, Conf: conf}, nil)
+	const entries = 3 * maxUnsaved
+	term := uint64(1)
+	for i := uint64(2); i < entries; i++ {
+		c.Step(Message{Type: MsgAppend, From: "a", To: "c", Term: 2, Index: i - 1, LogTerm: term, Entries: []Entry{{Term: 2, Index: i}}})
+		c.Ready()
+		term = 2
+	}
+	if n := len(c.messages); n > 1 {
+		t.Errorf("%d messages wait for the disk", n)
+	}
+	if n := c.LogLen(); n > maxUnsaved+1 {
+		t.Errorf("%d entries wait for the disk", n)
+	}
+}
