--- a/cmd/umberbench/model.go
+++ b/cmd/umberbench/model.go
@@ -71,7 +71,11 @@
 	}
 	slices.Sort(kinds)
 	mean, deviation := stat.MeanStdDev(worths, nil)
-	_, _ = fmt.Fprintf(w, "%s\t%.3f\t%.3f\t", name, mean, deviation)
+	spread := "-"
+	if len(worths) > 1 {
+		spread = fmt.Sprintf("%.3f", deviation)
+	}
+	_, _ = fmt.Fprintf(w, "%s\t%.3f\t%s\t", name, mean, spread)
 	for _, kind := range kinds {
 		_, _ = fmt.Fprintf(w, "%s %.3f  ", kind, stat.Mean(byKind[kind], nil))
 	}
