--- a/internal/fleetmodel/play.go
+++ b/internal/fleetmodel/play.go
@@ -23,14 +23,13 @@
 // play is a fleet that is played.
 type play struct {
 	clock
-	fleet    Fleet
-	rng      *rand.Rand
-	kinds    map[string]*kind
-	nodes    []*node
-	byID     map[string]*node
-	byDomain [][]*node
-	works    map[*work]bool
-	limits   budget.Limits
+	fleet  Fleet
+	rng    *rand.Rand
+	kinds  map[string]*kind
+	nodes  []*node
+	byID   map[string]*node
+	works  map[*work]bool
+	limits budget.Limits
 	// load is what the bursts multiply the load by.
 	load float64
 	// resend is the share of the callers that send again without being told, and
@@ -75,7 +74,6 @@
 }
 
 func (p *play) build() {
-	p.byDomain = make([][]*node, p.fleet.Domains)
 	for i := range p.fleet.Services {
 		s := &p.fleet.Services[i]
 		for k := range s.Servers {
@@ -83,7 +81,6 @@
 			n.server = &server{spec: s, speed: s.Speeds[k%len(s.Speeds)], slow: 1}
 			p.nodes = append(p.nodes, n)
 			p.byID[n.id] = n
-			p.byDomain[n.domain] = append(p.byDomain[n.domain], n)
 		}
 	}
 	for _, n := range p.nodes {
