--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -81,6 +81,9 @@
 	Renew time.Duration
 	// ColdStart is how long the server is several times slower at first.
 	ColdStart time.Duration
+	// EndsOn tells which requests end the server as soon as it runs them, by path
+	// and body; nil for none.
+	EndsOn func(path string, body []byte) bool
 }
 
 // Faults are what can be set while the server runs.
@@ -115,6 +118,8 @@
 	faults  atomic.Pointer[Faults]
 	started time.Time
 	stop    chan struct{}
+	// stopOnce lets several requests end the server.
+	stopOnce sync.Once
 
 	mu   sync.Mutex
 	work map[string]*Work
@@ -193,15 +198,15 @@
 // Peak returns the most requests that were in the server at once.
 func (s *Server) Peak() int64 { return s.peak.Load() }
 
+// Ended is closed once the server has ended.
+func (s *Server) Ended() <-chan struct{} { return s.stop }
+
 // Stop ends the server at once.
 func (s *Server) Stop() {
-	select {
-	case <-s.stop:
-		return
-	default:
+	s.stopOnce.Do(func() {
 		close(s.stop)
-	}
-	_ = s.srv.Close()
+		_ = s.srv.Close()
+	})
 }
 
 func (s *Server) announceLoop() {
@@ -273,7 +278,7 @@
 	}
 	ctx, cancel := withRemaining(r)
 	defer cancel()
-	if status := s.run(ctx, w, r, kind, f); status != http.StatusOK {
+	if status := s.run(ctx, w, r, body, kind, f); status != http.StatusOK {
 		return
 	}
 	s.answer(w, r, kind, len(body))
@@ -288,7 +293,7 @@
 }
 
 // run works for a request in a slot. It writes the answer if it fails.
-func (s *Server) run(ctx context.Context, w http.ResponseWriter, r *http.Request, k Kind, f *Faults) int {
+func (s *Server) run(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte, k Kind, f *Faults) int {
 	select {
 	case s.slots <- struct{}{}:
 	case <-ctx.Done():
@@ -298,6 +303,10 @@
 	defer func() { <-s.slots }()
 	id := r.Header.Get("Umber-Request-Id")
 	s.began(id, r.Header.Get("Idempotency-Key"))
+	if s.opt.EndsOn != nil && s.opt.EndsOn(r.URL.Path, body) {
+		s.Stop()
+		panic(http.ErrAbortHandler)
+	}
 	if f.Hang {
 		<-ctx.Done()
 		return http.StatusGatewayTimeout
