Refuse requests that end the backend servers that run them

What callers saw: one request, sent again and again, ended every backend server of a service, each time they came back, and with each the healthy requests in work there.

Cause: a node took the end of a backend server for a loss like any other. It sent the request to the next server, twice where the route allows it, and no node knew which requests had been in work at an end, so that each resend by another node began anew.

Now the node beside a backend server that ends tells which requests it had in work, by hashes of what they ask, in its own member record; linking members tell the other failure domains. Requests that were in work at three ends, and at half of the ends in the service meanwhile, are refused as not run, with the time when one is tried again: 20 to 30 s, four times longer after each further end. An answer clears what is like it, and is told on. A call is not sent once more where two servers ended under it or its like.

Tried and changed: a threshold of a quarter of the ends from the third on, and answers that were not told to other nodes.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -49,6 +49,7 @@
 	NotFound
 	Internal
 	Rejected
+	Quarantined
 	codeCount
 )
 
@@ -90,6 +91,7 @@
 	NotFound:       {"not-found", http.StatusNotFound, 4},
 	Internal:       {"internal", http.StatusInternalServerError, 1},
 	Rejected:       {"rejected", http.StatusServiceUnavailable, 10},
+	Quarantined:    {"quarantined", http.StatusServiceUnavailable, 16},
 }
 
 // String returns the code's name as it appears in refusals and metrics.
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -91,14 +91,16 @@
 	return n, err
 }
 
+// Whole tells whether the answer was read to its end.
+func (r *Response) Whole() bool { return r.eof || r.ContentLength == 0 }
+
 // Close frees the connection, or discards it if the body was not read whole.
 func (r *Response) Close() {
 	if r.conn == nil {
 		return
 	}
 	r.s.Unbind()
-	whole := r.eof || r.ContentLength == 0
-	if whole && !r.Response.Close && r.s.Err() == fault.None {
+	if r.Whole() && !r.Response.Close && r.s.Err() == fault.None {
 		_ = r.conn.SetDeadline(time.Time{})
 		r.conn.keep = keepAlive(r.Header.Get("Keep-Alive"))
 		r.c.put(r.conn)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,6 +12,7 @@
 	"github.com/umberthread/umberthread/confstore"
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/gossip"
+	"github.com/umberthread/umberthread/quarantine"
 	"github.com/umberthread/umberthread/raft"
 	"github.com/umberthread/umberthread/settings"
 )
@@ -38,6 +39,9 @@
 	Digest  gossip.Digest
 	Records []gossip.Record
 	Config  uint64
+	// Held are the requests that the answering node refuses, for a node that has
+	// just started.
+	Held []quarantine.Held
 }
 
 // FetchRequest asks for the settings after a version.
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -108,8 +108,8 @@
 		if present[key] {
 			continue
 		}
-		if s, err := member.DecodeSummary(r.Payload); err == nil && len(s.Instances) > 0 {
-			s.Instances = nil
+		if s, err := member.DecodeSummary(r.Payload); err == nil && !s.Blank() {
+			s.Instances, s.Ends, s.Answered = nil, nil, nil
 			l.update(key, s.Encode())
 		}
 	}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -97,7 +97,9 @@
 	// Dropped counts what full rings have dropped, by ring.
 	Dropped map[string]int64 `json:"dropped"`
 	Replica *ReplicaStatus   `json:"replica,omitempty"`
-	Domains map[string]bool  `json:"domains_reachable"`
+	// Quarantined are the requests that are refused as they end backend servers.
+	Quarantined []QuarantineStatus `json:"quarantined,omitempty"`
+	Domains     map[string]bool    `json:"domains_reachable"`
 }
 
 // BackendStatus is the backend server beside a node.
@@ -151,6 +153,7 @@
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.served.Load(), Calls: n.stats.calls.Load(),
 		Retries: n.stats.retries.Load(), Refusals: n.stats.bySlug(), Cut: n.stats.cut.Load(),
 		Silent: n.peers.silent(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.dropped(),
+		Quarantined: n.quarantine.status(),
 	}
 	c := &n.control.counter
 	s.Control = ControlBytes{n.stats.controlIn.Load() + c.In.Load(), n.stats.controlOut.Load() + c.Out.Load()}
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -114,6 +114,9 @@
 	if old != nil && old.anotherStart(a) {
 		n.retire(old.instance, old.born)
 		endEarlier(old, a)
+		if old.client.Addr() == a.Address {
+			n.quarantine.ended(old)
+		}
 		old = nil
 	}
 	next := &local{
@@ -261,6 +264,7 @@
 	be := n.local.Load()
 	if be != nil && now.After(be.expires) {
 		n.setLocal(nil, "its lease ran out")
+		n.quarantine.ended(be)
 	}
 }
 
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -11,6 +11,7 @@
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/wire"
+	"github.com/umberthread/umberthread/quarantine"
 	"github.com/umberthread/umberthread/rank"
 	"github.com/umberthread/umberthread/retry"
 	"github.com/umberthread/umberthread/route"
@@ -42,6 +43,12 @@
 	body    []byte
 	stream  io.Reader
 	bodyLen int64
+	// bodyStart is the beginning of a body that is streamed.
+	bodyStart []byte
+	// caller is who asks, where the edge tells, and marks are what the request is
+	// recognised by when backend servers end under it.
+	caller string
+	marks  quarantine.Marks
 
 	attempts int
 	// avoid is the instance of the last attempt, lastFailure why it failed, and
@@ -55,6 +62,8 @@
 	detail string
 	// free counts the attempts that cost no retry.
 	free int
+	// broken counts the attempts that broke off in work at a backend server.
+	broken int
 	// mayHaveRun is set if a backend server may have seen an attempt.
 	mayHaveRun bool
 	// callerLeft is set when the caller closed its connection. A call can also
@@ -73,6 +82,8 @@
 type work struct {
 	token string
 	call  *call
+	// start is that of the backend server that has it.
+	start uint32
 	// scope is the life of this attempt. It ends with it, and with it the
 	// calls made for it; the request itself may go on at another instance.
 	scope *scope.Scope
--- a/internal/node/edge.go
+++ b/internal/node/edge.go
@@ -38,6 +38,8 @@
 	Parent string
 	// Remaining is how long the caller waits; 0 if it does not say.
 	Remaining time.Duration
+	// Caller is who asks as the backend server is told it, "" if it is not.
+	Caller string
 }
 
 // Forwarding is what a backend server is told of a request.
@@ -68,7 +70,7 @@
 func (n *Node) openRouted(r *http.Request) (*call, *fault.Error) {
 	c := &call{method: r.Method, path: r.RequestURI, started: time.Now()}
 	arrival, ferr := n.opt.Edge.Arrive(r)
-	c.id = arrival.ID
+	c.id, c.caller = arrival.ID, arrival.Caller
 	if ferr != nil {
 		return c, ferr
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -45,6 +46,7 @@
 		n.refuse(w, c, ferr)
 		return
 	}
+	c.mark()
 	if c.policy.KeyRequired {
 		n.serveOnce(w, r, c)
 		return
@@ -184,8 +186,7 @@
 		return c.readUnmeasured(body)
 	}
 	if c.bodyLen > int64(c.policy.ReplayMax) {
-		c.stream = body
-		return nil
+		return c.streamBody(body)
 	}
 	c.body = make([]byte, c.bodyLen)
 	if _, err := io.ReadFull(body, c.body); err != nil {
@@ -194,12 +195,28 @@
 	return nil
 }
 
+// markedBytes is how much of the beginning of a streamed body tells requests apart.
+const markedBytes = 1 << 10
+
+// streamBody passes a long body on as it is read.
+func (c *call) streamBody(body io.Reader) *fault.Error {
+	// Longer reads than its buffer pass a bufio.Reader by.
+	r := bufio.NewReaderSize(body, markedBytes)
+	start, err := r.Peek(markedBytes)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return bodyFault(err)
+	}
+	c.bodyStart, c.stream = bytes.Clone(start), r
+	return nil
+}
+
 // readUnmeasured keeps a body without a length if it turns out to be small.
 func (c *call) readUnmeasured(body io.Reader) *fault.Error {
 	var buf bytes.Buffer
 	_, err := io.CopyN(&buf, body, int64(c.policy.ReplayMax)+1)
 	switch {
 	case err == nil:
+		c.bodyStart = bytes.Clone(buf.Bytes()[:min(buf.Len(), markedBytes)])
 		c.stream = io.MultiReader(&buf, body)
 	case errors.Is(err, io.EOF):
 		c.body, c.bodyLen = buf.Bytes(), int64(buf.Len())
@@ -271,6 +288,7 @@
 		n.record(c, fault.PeerLost, fault.RunUnknown)
 		panic(http.ErrAbortHandler)
 	}
+	n.quarantine.answered(c)
 	n.record(c, fault.None, fault.RunYes)
 }
 
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -13,6 +13,7 @@
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/pathlevel"
 	"github.com/umberthread/umberthread/internal/wire"
+	"github.com/umberthread/umberthread/quarantine"
 	"github.com/umberthread/umberthread/rank"
 	"github.com/umberthread/umberthread/retry"
 	"github.com/umberthread/umberthread/route"
@@ -37,6 +38,9 @@
 			return nil, c.refusal(fault.Overload, "a service on the path of this request is overloaded", l)
 		}
 	}
+	if ferr := n.quarantine.refusal(c); ferr != nil {
+		return nil, ferr
+	}
 	if c.depth > 0 {
 		waits, ok := n.takeWait(c)
 		if !ok {
@@ -57,6 +61,9 @@
 		if in != nil && (ferr != nil || a.status >= http.StatusInternalServerError) {
 			c.tried(in.Addr, ferr, statusOf(a))
 		}
+		if ferr != nil && ferr.Code == fault.BackendLost && ferr.Run != fault.RunNo {
+			c.broken++
+		}
 		c.mayHaveRun = c.mayHaveRun || ferr == nil || ferr.Run != fault.RunNo
 		c.noteOffer(in, ferr)
 		if ferr == nil && !n.badAnswer(c, a) {
@@ -178,7 +185,7 @@
 	if e != nil {
 		f.Code, f.Run = e.Code, e.Run
 	}
-	switch retry.Decide(c.retryState(), f) {
+	switch retry.Decide(n.retryState(c), f) {
 	case retry.Free:
 		c.free++
 		return true
@@ -202,10 +209,11 @@
 }
 
 // retryState is what the decision about a retry looks at.
-func (c *call) retryState() retry.Call {
+func (n *Node) retryState(c *call) retry.Call {
 	return retry.Call{
 		Replayable: c.replayable(), Idempotent: c.policy.Idempotent,
 		Attempts: c.attempts, Free: c.free, Offered: len(c.sentTo), OfferMax: c.policy.AttemptsMax,
+		Ends: max(c.broken, n.quarantine.ends(c)),
 	}
 }
 
@@ -320,7 +328,7 @@
 	req := &wire.Request{
 		Attempt: n.attempts.Add(1), ID: c.id, Root: c.root, Target: c.target,
 		Remaining: c.scope.Remaining(), Rank: c.rank, Depth: c.depth, Lease: uint8(lease),
-		Repeat: c.repeat || c.attempts-c.free > 1,
+		Repeat: c.repeat || c.attempts-c.free > 1, Content: uint64(c.marks.Content), Caller: uint64(c.marks.Caller),
 		Method: c.method, Path: c.path, BodyLen: c.bodyLen, Header: c.header,
 	}
 	wa, err := n.peers.client(in.Addr, c.policy.Silence).Do(c.scope, req, c.body, c.stream)
@@ -364,6 +372,7 @@
 	c := &call{
 		id: r.ID, root: r.Root, target: r.Target, rank: r.Rank, depth: r.Depth, repeat: r.Repeat, scope: x.Scope,
 		method: r.Method, path: r.Path, header: r.Header, bodyLen: r.BodyLen, started: time.Now(),
+		marks: quarantine.Marks{Content: quarantine.Mark(r.Content), Caller: quarantine.Mark(r.Caller)},
 	}
 	c.pool = &budget.Pool{}
 	c.pool.Reset(int(r.Lease))
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -334,6 +334,9 @@
 	}
 	answer := discovery.Answer{Domain: reply.Domain, Seeds: reply.Seeds}
 	g.heard(bySync, t.Addr, reply.Config)
+	if g.young() {
+		g.n.quarantine.adopt(reply.Held)
+	}
 	if reply.Domain != g.n.opt.Domain {
 		g.n.control.links.Meet(reply.Domain, t.Addr)
 		return answer, nil
@@ -393,6 +396,7 @@
 	if be := n.local.Load(); be != nil {
 		m.Service, m.Slots, m.Weight, m.State, m.Start = be.service, be.slots, be.weight, be.state, be.start
 	}
+	m.Ended, m.Answered = n.quarantine.own()
 	if n.leaving() && m.State == member.Serving {
 		m.State = member.Draining
 	}
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -62,13 +62,19 @@
 		return nil, e
 	}
 	p.happen(requestAdmit)
+	if ferr := n.quarantine.refusal(c); ferr != nil {
+		n.gate.leave(admission.Outcome{})
+		p.happen(requestExpire)
+		ferr.Run = p.run()
+		return nil, ferr
+	}
 	// The process may have been frozen since the request was admitted.
 	if code := c.scope.Err(); code != fault.None {
 		n.gate.leave(admission.Outcome{})
 		p.happen(requestExpire)
 		return nil, &fault.Error{Code: code, Run: p.run(), Detail: "given up before it was run"}
 	}
-	w := &work{token: n.tokenFor(c), call: c, scope: c.scope.Child(c.scope.Deadline())}
+	w := &work{token: n.tokenFor(c), call: c, start: be.start, scope: c.scope.Child(c.scope.Deadline())}
 	n.works.Store(w.token, w)
 	started := time.Now()
 	p.happen(requestSend)
@@ -91,6 +97,7 @@
 			p.happen(requestLose)
 		}
 		ferr.Run = p.run()
+		n.noteBroken(be, c, ferr)
 		n.backendFailed(be, ferr)
 		return nil, ferr
 	}
@@ -112,6 +119,11 @@
 		a.header = append(a.header, wireField{Name: HeaderRun, Value: fault.RunUnknown.String()})
 	}
 	a.close = func() {
+		if resp.Whole() {
+			n.quarantine.answered(c)
+		} else if c.scope.Err() == fault.None {
+			n.quarantine.broke(be.start, c)
+		}
 		resp.Close()
 		n.endWork(w)
 		n.gate.leave(admission.Outcome{Kind: kind, Took: took, Expired: expired, Pushback: pushback})
@@ -247,6 +259,14 @@
 	}
 	if !be.client.Reachable() && n.local.Load() == be {
 		n.setLocal(nil, "it no longer takes connections")
+		n.quarantine.ended(be)
+	}
+}
+
+// noteBroken remembers a request that may have been in work when its connection broke.
+func (n *Node) noteBroken(be *local, c *call, e *fault.Error) {
+	if e.Code == fault.BackendLost && e.Run != fault.RunNo {
+		n.quarantine.broke(be.start, c)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,9 +80,10 @@
 	// backendStarts counts the starts of backend servers beside this node.
 	backendStarts uint32
 
-	news      news
-	stats     stats
-	latencies latency.Table
+	news       news
+	quarantine *quarantiner
+	stats      stats
+	latencies  latency.Table
 	// requestLog bounds the lines about requests.
 	requestLog requestLog
 	overload   atomic.Pointer[overload]
@@ -127,6 +128,7 @@
 		burn: burn.NewBook(), retired: map[string]retirement{}, stop: make(chan struct{}),
 		dial: control.DialTCP, mayDatagram: func(string) bool { return true },
 	}
+	n.quarantine = newQuarantiner(n)
 	n.seeds.Store(&o.Bootstrap)
 	n.gate = newGate(n.clock)
 	n.peers.dial = func(addr string, timeout time.Duration) (net.Conn, error) { return n.dial(addr, timeout) }
@@ -256,6 +258,7 @@
 	n.every(upkeep, func(now time.Time) {
 		n.checkLease(now)
 		n.watchLevel(now)
+		n.quarantine.tidy()
 	})
 }
 
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -42,6 +42,9 @@
 attempts_max = 3
 [fleet.kigali.service.sheets.kind.confirm]
 idempotent = false
+[fleet.kigali.service.sheets.kind.slow]
+idempotent = true
+attempts_max = 3
 [fleet.kigali.service.sheets.kind.chain]
 idempotent = true
 attempts_max = 3
@@ -99,9 +102,17 @@
 	return append([]*standin.Server(nil), c.servers...)
 }
 
+// poisoned returns when backend servers began to run a request that ends them.
+func (c *crew) poisoned() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]time.Time(nil), c.runs...)
+}
+
 func (c *crew) startServer(n *testNode, i int, service, addr string) *standin.Server {
 	kinds := map[string]standin.Kind{
 		"open": {Time: 20 * time.Millisecond}, "confirm": {Time: 20 * time.Millisecond}, "day": {Time: 20 * time.Millisecond},
+		"slow":  {Time: 400 * time.Millisecond},
 		"chain": {Time: time.Millisecond, Calls: []string{"kigali/rosters/day" + poisonPath}},
 	}
 	var s *standin.Server
@@ -214,7 +225,7 @@
 	poison := c.load(150*time.Millisecond, span, "kigali/sheets/open"+poisonPath, noBody)
 	wg.Wait()
 
-	runs, later := c.runs, 0
+	runs, later := c.poisoned(), 0
 	for _, at := range runs {
 		if len(runs) > 3 && at.Sub(runs[2]) > spread {
 			later++
@@ -241,7 +252,99 @@
 		return []string{"kigali/sheets", "kigali/rosters"}[i%2]
 	})
 	chain := c.load(150*time.Millisecond, 5*time.Second, "kigali/sheets/chain", ofOwn)
-	t.Logf("%d backend servers ended; refusals %v", len(c.runs), chain.reasons)
-	g.Expect(len(c.runs)).To(gomega.BeNumerically("<=", 8), "backend servers ended")
+	t.Logf("%d backend servers ended; refusals %v", len(c.poisoned()), chain.reasons)
+	g.Expect(len(c.poisoned())).To(gomega.BeNumerically("<=", 8), "backend servers ended")
 	g.Expect(chain.reasons).To(gomega.HaveKey("quarantined"))
 }
+
+// Backend servers end for other causes while they run requests that are all alike: they
+// are killed one by one and all at once, and some lose power together with their nodes.
+// None of the requests may be taken for the cause.
+func TestHealthyRequestsAreNotSuspectedAsBackendServersEnd(t *testing.T) {
+	c := startCrew(t, 3, 4, func(int) string { return "kigali/sheets" })
+	c.load(20*time.Millisecond, 2*time.Second, "kigali/sheets/slow/mon", noBody)
+	killServersUnderAlikeRequests(t, c)
+}
+
+// The same where nobody has had an answer to such a request before the first servers end.
+func TestNewRequestsAreNotSuspectedAsBackendServersEnd(t *testing.T) {
+	c := startCrew(t, 3, 4, func(int) string { return "kigali/sheets" })
+	killServersUnderAlikeRequests(t, c)
+}
+
+// killServersUnderAlikeRequests ends ten backend servers a second under requests of two
+// kinds, and expects that none of these is suspected.
+func killServersUnderAlikeRequests(t *testing.T, c *crew) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	const span = 8 * time.Second
+	var alike, slow *answers
+	var wg sync.WaitGroup
+	wg.Go(func() { alike = c.load(10*time.Millisecond, span, "kigali/sheets/open/mon", noBody) })
+	wg.Go(func() { slow = c.load(20*time.Millisecond, span, "kigali/sheets/slow/mon", noBody) })
+	end := time.Now().Add(span)
+	for round := 1; time.Now().Before(end); round++ {
+		time.Sleep(100 * time.Millisecond)
+		servers := c.all()
+		if round%25 != 0 {
+			servers = servers[round%len(servers):][:1]
+		}
+		for _, s := range servers {
+			s.Stop()
+		}
+		if round == 30 {
+			c.nodes[len(c.nodes)-1].Close()
+		}
+	}
+	wg.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.Logf("%d backend servers ended; alike %d of %d, slow %d of %d, refusals %v %v", len(c.ends), alike.ok, alike.count, slow.ok, slow.count, alike.reasons, slow.reasons)
+	g.Expect(len(c.ends)).To(gomega.BeNumerically(">", 40))
+	g.Expect(alike.reasons).NotTo(gomega.HaveKey("quarantined"))
+	g.Expect(slow.reasons).NotTo(gomega.HaveKey("quarantined"))
+}
+
+// A node that starts later refuses from the first request on what the others refuse.
+func TestNodeThatStartsKnowsWhatIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := startCrew(t, 2, 2, func(int) string { return "kigali/sheets" })
+	poison := func(n *testNode) string {
+		return n.call("kigali/sheets/open"+poisonPath, "", nil, nil).problem().Reason
+	}
+	g.Eventually(func() string { return poison(c.any()) }, 10*time.Second, 50*time.Millisecond).Should(gomega.Equal("quarantined"))
+	for _, n := range c.nodes {
+		g.Eventually(func() string { return poison(n) }, 3*time.Second, 50*time.Millisecond).Should(gomega.Equal("quarantined"))
+	}
+	ended := len(c.poisoned())
+	late := startNode(t, "domain-1", []string{c.nodes[0].opt.Control, c.nodes[3].opt.Control}, nil)
+	useSettings(t, crewSettings, late)
+	late.serves("kigali/sheets", 2)
+	g.Expect(poison(late)).To(gomega.Equal("quarantined"))
+	g.Expect(late.call("kigali/sheets/open/other", "", nil, nil).problem().Reason).NotTo(gomega.Equal("quarantined"))
+	g.Expect(c.poisoned()).To(gomega.HaveLen(ended))
+	held := late.Status().Quarantined
+	g.Expect(held).To(gomega.HaveLen(1))
+	g.Expect(held[0].Ends).To(gomega.BeNumerically(">=", 3))
+}
+
+// An answer ends the suspicion on all that is alike; a streamed body counts by its
+// beginning and length.
+func TestRequestsAreRecognisedByWhatTheyAsk(t *testing.T) {
+	g := gomega.NewWithT(t)
+	marks := func(change func(*call)) uint64 {
+		c := &call{target: "f/s/k", method: "POST", path: "/a", body: []byte("x"), bodyLen: 1}
+		change(c)
+		c.mark()
+		return uint64(c.marks.Content)
+	}
+	same := marks(func(*call) {})
+	g.Expect(marks(func(c *call) { c.id, c.rank, c.depth = "another", 7, 2 })).To(gomega.Equal(same))
+	g.Expect(marks(func(c *call) { c.caller = "someone" })).To(gomega.Equal(same))
+	for _, change := range []func(*call){
+		func(c *call) { c.target = "f/s/j" }, func(c *call) { c.method = "PUT" }, func(c *call) { c.path = "/b" },
+		func(c *call) { c.body = []byte("y") }, func(c *call) { c.body, c.bodyStart = nil, []byte("z") }, func(c *call) { c.bodyLen = 2 },
+	} {
+		g.Expect(marks(change)).NotTo(gomega.Equal(same))
+	}
+}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -64,9 +64,14 @@
 		t.takeMember(*e.Member)
 	case member.IsSummary(e.Record.Key):
 		s, err := member.DecodeSummary(e.Record.Payload)
-		if err == nil && s.Domain != t.n.opt.Domain {
-			t.summaries[e.Record.Key] = *s
+		if err != nil || s.Domain == t.n.opt.Domain {
+			return
 		}
+		if s.Service == member.EndedService {
+			t.n.quarantine.heardRemote(s)
+			return
+		}
+		t.summaries[e.Record.Key] = *s
 	case member.IsLink(e.Record.Key):
 		l, err := member.DecodeLink(e.Record.Payload)
 		if err == nil && l.Domain != t.n.opt.Domain {
@@ -82,6 +87,7 @@
 		return
 	}
 	t.metas[m.ID] = &memberView{m, meta}
+	t.n.quarantine.heardMember(m.ID, meta)
 	if old != nil && old.Status != m.Status || old == nil && m.Status != gossip.Dead {
 		t.n.event("member", meta.Name+" is "+m.Status.String()+".")
 	}
--- a/member/meta.go
+++ b/member/meta.go
@@ -65,6 +65,42 @@
 	// Start counts the starts of backend servers beside the node: what was
 	// observed of an earlier one says nothing of the next.
 	Start uint32
+	// Ended is the last start that ended with requests in work, or nil.
+	Ended *End
+	// Answered are marks of requests that were suspected and then answered.
+	Answered []Answer
+}
+
+// Answer tells that a request was answered.
+type Answer struct {
+	Mark uint64
+	// AtMs is when, in milliseconds of the Unix time by the node's clock.
+	AtMs int64
+}
+
+// MaxAnswers bounds the answers that one record names: the last ones.
+const MaxAnswers = 4
+
+// End tells of a backend server that ended with requests in work.
+type End struct {
+	// Start is as in Meta, and Service the backend server's.
+	Start   uint32
+	Service string
+	// AtMs is when it ended, in milliseconds of the Unix time by its node's clock.
+	AtMs int64
+	// Marks are of requests that it had in work, at most MaxEndMarks: see package
+	// quarantine.
+	Marks []uint64
+}
+
+// MaxEndMarks bounds the marks of one End, which ride in one packet with the rest.
+const MaxEndMarks = 48
+
+// RemoteEnd is an End beside a node of another failure domain.
+type RemoteEnd struct {
+	// ID is the node's.
+	ID string
+	End
 }
 
 // Encode returns the payload of a member record.
@@ -81,9 +117,16 @@
 		// The node is a member all the same; no backend server is named.
 		m.State = Absent
 	}
+	if m.Ended != nil {
+		m.Ended.Marks = bounded(m.Ended.Marks)
+	}
+	m.Answered = m.Answered[:min(len(m.Answered), MaxAnswers)]
 	return &m, nil
 }
 
+// bounded cuts what no node of this kind says down to what one may say.
+func bounded(marks []uint64) []uint64 { return marks[:min(len(marks), MaxEndMarks)] }
+
 const (
 	// MaxSlots and MaxWeight bound what a backend server may announce; a record
 	// beyond them is not of a node of this kind.
@@ -103,6 +146,13 @@
 // summarised.
 const ReplicaService = "_replica"
 
+// EndedService is the pseudo service under which a failure domain tells the others
+// which of its backend servers ended lately.
+const EndedService = "_ended"
+
+// SummaryEnds is how many ends a summary names: the last ones.
+const SummaryEnds = 4
+
 // SummaryInstances is how many instances of a service a summary names.
 const SummaryInstances = 8
 
@@ -122,6 +172,15 @@
 	Service string
 	// Instances are some that serve, at most SummaryInstances.
 	Instances []Remote
+	// Ends and Answered are told under EndedService alone, at most SummaryEnds and
+	// MaxAnswers.
+	Ends     []RemoteEnd
+	Answered []Answer
+}
+
+// Blank tells whether the summary names nothing.
+func (s *Summary) Blank() bool {
+	return len(s.Instances) == 0 && len(s.Ends) == 0 && len(s.Answered) == 0
 }
 
 // Link is what one linking member knows of another failure domain.
@@ -191,6 +250,11 @@
 	if err := codec.Decode(b, &s); err != nil {
 		return nil, err
 	}
+	s.Ends = s.Ends[:min(len(s.Ends), SummaryEnds)]
+	s.Answered = s.Answered[:min(len(s.Answered), MaxAnswers)]
+	for i := range s.Ends {
+		s.Ends[i].Marks = bounded(s.Ends[i].Marks)
+	}
 	if s.Service != ReplicaService {
 		s.Instances = slices.DeleteFunc(s.Instances, func(r Remote) bool { return !usable(r.Addr, r.Slots, r.Weight) })
 	}
--- /dev/null
+++ b/quarantine/mark.go
@@ -0,0 +1,70 @@
+package quarantine
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Mark is a hash of what makes requests alike; 0 stands for none.
+type Mark uint64
+
+// Marks are the marks of one request.
+type Marks struct {
+	// Content is of what is asked: address, method, path and body.
+	Content Mark
+	// Caller is of the same and who asks, 0 where that is not known. Requests that
+	// only some callers send with an effect on the server show under it alone.
+	Caller Mark
+}
+
+const (
+	// answerSlots is how many marks an Answers holds, a power of two.
+	answerSlots = 4096
+	// answerFor is how long an answer speaks for the requests like it.
+	answerFor = 10 * time.Second
+	// answerUnit is the resolution of the times in an Answers.
+	answerUnit = 100 * time.Millisecond
+	// timeBits of each slot are the time, the others are the mark's.
+	timeBits = 24
+	timeMask = 1<<timeBits - 1
+)
+
+// Answers remembers which marks were answered lately. It is safe for concurrent use and
+// takes no lock: each mark has one slot, and a later one overwrites it.
+type Answers struct {
+	slots [answerSlots]atomic.Uint64
+}
+
+// slotOf returns the slot of a mark, and the bits of it that the slot keeps.
+func (a *Answers) slotOf(m Mark) (*atomic.Uint64, uint64) {
+	return &a.slots[m%answerSlots], uint64(m) &^ timeMask
+}
+
+// Note takes in that a backend server answered a request.
+func (a *Answers) Note(now time.Duration, m Marks) {
+	a.note(now, m.Content)
+	a.note(now, m.Caller)
+}
+
+func (a *Answers) note(now time.Duration, m Mark) {
+	if m == 0 {
+		return
+	}
+	slot, tag := a.slotOf(m)
+	next := tag | uint64(now/answerUnit)&timeMask
+	// A plain load is cheaper than a store that other cores have to see.
+	if slot.Load() != next {
+		slot.Store(next)
+	}
+}
+
+// Lately tells whether a request with the mark was answered a short time ago.
+func (a *Answers) Lately(now time.Duration, m Mark) bool {
+	slot, tag := a.slotOf(m)
+	v := slot.Load()
+	if v == 0 || v&^timeMask != tag {
+		return false
+	}
+	ago := (uint64(now/answerUnit) - v) & timeMask
+	return time.Duration(ago)*answerUnit < answerFor
+}
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,221 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+func newTable() *Table { return New(rand.New(rand.NewPCG(1, 2))) }
+
+const poison Mark = 77
+
+// end counts the end of the i-th start with the poison and one mark of its own.
+func end(t *Table, now time.Duration, i int) []Held {
+	held, _ := t.Ended(now, End{Start: fmt.Sprint(i), Service: "f/s", Marks: []Mark{poison, Mark(1000 + i)}})
+	return held
+}
+
+func TestMarkIsHeldAtTheThirdEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable()
+	g.Expect(end(table, 0, 1)).To(gomega.BeEmpty())
+	g.Expect(end(table, 0, 2)).To(gomega.BeEmpty())
+	g.Expect(table.View(0).Left(0, Marks{Content: poison})).To(gomega.BeZero())
+	held := end(table, time.Second, 3)
+	g.Expect(held).To(gomega.HaveLen(1))
+	g.Expect(held[0].Mark).To(gomega.Equal(poison))
+	v := table.View(time.Second)
+	g.Expect(v.Left(time.Second, Marks{Content: poison})).To(gomega.BeNumerically(">=", firstHold))
+	g.Expect(v.Left(time.Second, Marks{Content: 5, Caller: poison})).To(gomega.BeNumerically(">=", firstHold))
+	g.Expect(v.Left(time.Second, Marks{Content: 1001})).To(gomega.BeZero(), "a request that was in work at one end")
+	g.Expect(v.Left(time.Second, Marks{})).To(gomega.BeZero(), "a request without a mark")
+}
+
+func TestAnEndIsCountedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable()
+	for range 10 {
+		end(table, 0, 1)
+	}
+	g.Expect(table.View(0).Ends(Marks{Content: poison})).To(gomega.BeZero())
+}
+
+func TestAnAnswerEndsTheSuspicion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable()
+	for i := range Ends {
+		end(table, 0, i)
+	}
+	g.Expect(table.Answered(poison)).To(gomega.BeTrue())
+	g.Expect(table.View(0).Empty()).To(gomega.BeTrue())
+	end(table, 0, 10)
+	end(table, 0, 11)
+	g.Expect(table.View(0).Left(0, Marks{Content: poison})).To(gomega.BeZero(), "it begins anew")
+}
+
+// A request that ends every server is resent every 150 ms, for two hours, to nodes that
+// share what they know: runs within the first seconds aside, it may be run once for each
+// quarantine, and each is longer than the one before.
+func TestEachFurtherEndLengthensTheQuarantine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const resend = 150 * time.Millisecond
+	table := newTable()
+	var runs []time.Duration
+	for now := time.Duration(0); now < 2*time.Hour; now += resend {
+		if table.View(now).Left(now, Marks{Content: poison}) == 0 {
+			runs = append(runs, now)
+			end(table, now, len(runs))
+		}
+	}
+	g.Expect(runs[2]).To(gomega.BeNumerically("<", time.Second))
+	var first5 int
+	for _, at := range runs[3:] {
+		if at < 5*time.Minute {
+			first5++
+		}
+	}
+	g.Expect(first5).To(gomega.BeNumerically("<=", 2))
+	g.Expect(len(runs)).To(gomega.BeNumerically("<=", 13))
+	for i := 5; i < len(runs); i++ {
+		g.Expect(runs[i] - runs[i-1]).To(gomega.BeNumerically("<=", holdMax+time.Duration(holdSpread*float64(holdMax))+resend))
+	}
+}
+
+// Requests that were under way when the quarantine began end servers too. They are no
+// sign that another try failed.
+func TestStragglersDoNotLengthenTheQuarantine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable()
+	for i := range 12 {
+		end(table, time.Duration(i)*100*time.Millisecond, i)
+	}
+	held := table.Held(time.Second)
+	g.Expect(held).To(gomega.HaveLen(1))
+	g.Expect(held[0].Round).To(gomega.Equal(1))
+	g.Expect(held[0].Ends).To(gomega.Equal(12))
+}
+
+// Servers of the service are killed all the time. A request that takes long is in work
+// at a few of these ends, and its callers send it again.
+func TestARequestInWorkAtFewOfManyEndsIsNotHeld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable()
+	for i := range 60 {
+		marks := []Mark{Mark(5000 + i)}
+		if i%6 == 0 {
+			marks = append(marks, poison)
+		}
+		held, _ := table.Ended(time.Duration(i)*100*time.Millisecond, End{Start: fmt.Sprint(i), Service: "f/s", Marks: marks})
+		g.Expect(held).To(gomega.BeEmpty())
+	}
+	g.Expect(table.Ends(poison)).To(gomega.Equal(10))
+	// Ends of another service say nothing of it.
+	for i := range 3 {
+		held, _ := table.Ended(time.Minute, End{Start: fmt.Sprint("other", i), Service: "f/t", Marks: []Mark{9}})
+		g.Expect(held).To(gomega.HaveLen(i / 2))
+	}
+}
+
+// Three requests that end servers come in turn: each is in work at a third of the ends.
+func TestSeveralRequestsThatEndServersAreHeld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable()
+	held := 0
+	for i := range 18 {
+		h, _ := table.Ended(time.Duration(i)*100*time.Millisecond, End{Start: fmt.Sprint(i), Service: "f/s", Marks: []Mark{Mark(1 + i%3)}})
+		held += len(h)
+	}
+	g.Expect(held).To(gomega.Equal(3))
+}
+
+func TestSuspicionEndsByItself(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable()
+	for i := range Ends {
+		end(table, 0, i)
+	}
+	longest := firstHold + time.Duration(holdSpread*float64(firstHold))
+	g.Expect(table.View(longest).Left(longest, Marks{Content: poison})).To(gomega.BeZero())
+	g.Expect(table.Held(longest)).To(gomega.BeEmpty())
+	later := keepFor + time.Second
+	g.Expect(table.View(later).Empty()).To(gomega.BeTrue())
+	end(table, later, 20)
+	end(table, later, 21)
+	g.Expect(table.View(later).Left(later, Marks{Content: poison})).To(gomega.BeZero(), "it begins anew")
+}
+
+// A whole fleet loses power, several times: the memory stays bounded, and a mark in
+// quarantine is not forgotten for it.
+func TestMassEndsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable()
+	for i := range Ends {
+		end(table, 0, i)
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	for i := range 24000 {
+		marks := make([]Mark, 48)
+		for k := range marks {
+			marks[k] = Mark(1 + rng.Uint64N(20000))
+		}
+		table.Ended(time.Second, End{Start: "mass-" + fmt.Sprint(i), Service: fmt.Sprint("f/", i%3300), Marks: marks})
+	}
+	g.Expect(len(table.services)).To(gomega.BeNumerically("<=", servicesMax))
+	for _, ends := range table.services {
+		g.Expect(len(ends)).To(gomega.BeNumerically("<=", serviceEnds))
+	}
+	g.Expect(len(table.young)).To(gomega.BeNumerically("<=", generation))
+	g.Expect(len(table.old)).To(gomega.BeNumerically("<=", generation))
+	g.Expect(len(table.hot)).To(gomega.BeNumerically("<=", viewMax))
+	g.Expect(len(table.starts)).To(gomega.BeNumerically("<=", startsMax))
+	g.Expect(table.View(time.Second).Left(time.Second, Marks{Content: poison})).NotTo(gomega.BeZero())
+}
+
+func TestAStartedNodeAdoptsWhatOthersHold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, other := newTable(), newTable()
+	for i := range Ends {
+		end(table, 0, i)
+	}
+	other.Adopt(time.Minute, table.Held(5*time.Second))
+	left := other.View(time.Minute).Left(time.Minute, Marks{Content: poison})
+	g.Expect(left).To(gomega.BeNumerically("~", table.View(0).Left(5*time.Second, Marks{Content: poison}), time.Millisecond))
+	g.Expect(end(other, time.Minute+left+time.Second, 50)[0].Round).To(gomega.Equal(2), "the next end is of another try")
+	other.Adopt(0, []Held{{Mark: 9, Round: 1, Left: -time.Second}, {Mark: 0, Round: 1, Left: time.Hour}})
+	g.Expect(other.View(0).Left(0, Marks{Content: 9})).To(gomega.BeZero())
+	g.Expect(other.View(0).Left(0, Marks{})).To(gomega.BeZero())
+}
+
+func TestAnswersAreRememberedForAWhile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var a Answers
+	m := Marks{Content: 1 << 40, Caller: 3<<40 + 1}
+	g.Expect(a.Lately(0, m.Content)).To(gomega.BeFalse())
+	for _, now := range []time.Duration{time.Second, 100 * time.Hour} {
+		a.Note(now, m)
+		g.Expect(a.Lately(now, m.Content)).To(gomega.BeTrue())
+		g.Expect(a.Lately(now+answerFor/2, m.Caller)).To(gomega.BeTrue())
+		g.Expect(a.Lately(now+answerFor, m.Content)).To(gomega.BeFalse())
+		g.Expect(a.Lately(now, 5<<40)).To(gomega.BeFalse(), "another mark of the same slot")
+	}
+	a.Note(0, Marks{Content: 8 << 40})
+	g.Expect(a.Lately(0, 0)).To(gomega.BeFalse())
+}
+
+func BenchmarkLookUp(b *testing.B) {
+	table := newTable()
+	for i := range Ends {
+		end(table, 0, i)
+	}
+	v := table.View(0)
+	var a Answers
+	for i := range b.N {
+		m := Marks{Content: Mark(i) << 20, Caller: Mark(i) << 21}
+		v.Left(0, m)
+		a.Note(time.Duration(i), m)
+	}
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -25,6 +25,9 @@
 	// Offered is how many backend servers were offered the call, and OfferMax how
 	// many may be, 0 for any number.
 	Offered, OfferMax int
+	// Ends is how many backend servers are known to have ended, or to have broken
+	// off, while they ran it or requests like it.
+	Ends int
 }
 
 // Failure is why an attempt failed. Its zero value is an answer of the backend server
@@ -62,6 +65,8 @@
 		return GiveUp
 	case f.Code != fault.None && !helps(c, f):
 		return GiveUp
+	case f.Code == fault.BackendLost && f.Run != fault.RunNo && c.Ends > maxEnds:
+		return GiveUp
 	case neverOffered(f) && c.Free < maxFree:
 		return Free
 	case !mayGoOn(c, f):
@@ -71,6 +76,10 @@
 	}
 }
 
+// maxEnds is how many backend servers may have ended under a call that is sent once
+// more. One that ends each server that runs it would else end all that it may be sent to.
+const maxEnds = 1
+
 // helps tells whether another instance may do better. The refusal of an overloaded
 // one is tried once at another, by the node that chose it and by none above it.
 func helps(c Call, f Failure) bool {
--- a/settings/key.go
+++ b/settings/key.go
@@ -36,6 +36,9 @@
 	// 0 for as many as its budget pays.
 	RetryBurst      int
 	AttemptsMax     int
+	// Quarantine tells whether requests are refused that end the backend servers
+	// that run them.
+	Quarantine      bool
 	QueueMax        int
 	QueueWait       time.Duration
 	QueueTarget     time.Duration
@@ -169,6 +172,7 @@
 	durationKey("retry_window", "10s", time.Second, 10*time.Minute, AtService, "Time over which retries and first attempts are counted; the window before it pays too if it had more.", func(p *Policy) *time.Duration { return &p.RetryWindow }),
 	intKey("retry_burst", "10", 0, 1000, AtService, "Retries to a service that one node may send in a window beside the ratio.", func(p *Policy) *int { return &p.RetryBurst }),
 	intKey("attempts_max", "0", 0, 16, AtKind, "Backend servers that one call may be sent to; 0 leaves it to the retry budget.", func(p *Policy) *int { return &p.AttemptsMax }),
+	boolKey("quarantine", "true", AtKind, "Whether requests are refused for a while after several backend servers ended while they ran one.", func(p *Policy) *bool { return &p.Quarantine }),
 	intKey("queue_max", "32", 0, 4096, AtService, "Requests that may wait beside one backend server.", func(p *Policy) *int { return &p.QueueMax }),
 	durationKey("queue_wait", "1s", time.Millisecond, 10*time.Second, AtService, "Longest wait in the queue; at most four mean service times are used of it.", func(p *Policy) *time.Duration { return &p.QueueWait }),
 	durationKey("queue_target", "3ms", 100*time.Microsecond, time.Second, AtService, "Least mean wait above which the admission level rises; three quarters of the mean service time where that is longer.", func(p *Policy) *time.Duration { return &p.QueueTarget }),
