--- a/settings/key.go
+++ b/settings/key.go
@@ -34,8 +34,8 @@
 	// RetryBurst is how many retries to a service one node may send beside the
 	// ratio, and AttemptsMax how many backend servers one call may be sent to,
 	// 0 for as many as its budget pays.
-	RetryBurst      int
-	AttemptsMax     int
+	RetryBurst  int
+	AttemptsMax int
 	// Quarantine tells whether requests are refused that end the backend servers
 	// that run them.
 	Quarantine      bool
