--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -12,7 +12,9 @@
 	"github.com/onsi/gomega"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/standin"
+	"github.com/umberthread/umberthread/member"
 )
 
 // crew is a fleet of nodes whose backend servers come back some seconds after they
@@ -348,3 +350,30 @@
 		g.Expect(marks(change)).NotTo(gomega.Equal(same))
 	}
 }
+
+// Where a whole failure domain loses its backend servers at once, the ends are told
+// without what was in work: each record would be three times as long. What a node tells
+// of an end fits into one packet with the rest, and is dropped after a while.
+func TestMassEndsAreToldInBrief(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "domain-0", nil, nil)
+	q := n.quarantine
+	endOf := func(start uint32) *member.End {
+		for i := range 2 * endRequests {
+			c := &call{target: "kigali/sheets/open", path: fmt.Sprint("/", start, "/", i), caller: "someone", started: time.Now(), scope: scope.New(time.Now().Add(time.Second))}
+			c.mark()
+			q.broke(start, c)
+		}
+		q.collect(&local{service: "kigali/sheets", start: start})
+		end, _ := q.own()
+		return end
+	}
+	g.Expect(endOf(1).Marks).To(gomega.HaveLen(member.MaxEndMarks))
+	g.Expect(len(n.meta().Encode())).To(gomega.BeNumerically("<", packetBytes*2/3))
+	for i := range massEnds {
+		q.heardEnd(fmt.Sprint("other-", i), &member.End{Start: 1, AtMs: time.Now().UnixMilli(), Service: "kigali/sheets"})
+	}
+	g.Expect(endOf(2).Marks).To(gomega.BeEmpty())
+	q.lastEnd.AtMs -= endHeard.Milliseconds()
+	g.Expect(n.meta().Ended).To(gomega.BeNil())
+}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -19,8 +19,15 @@
 
 const (
 	// endCollect is how long the requests of a backend server that ended have to
-	// find out that their connections are broken.
+	// find out that their connections are broken, and endSpread the time, for each
+	// member, over which many that end at once are told.
 	endCollect = 20 * time.Millisecond
+	endSpread  = 200 * time.Microsecond
+	// massEnds ends in a failure domain within massSpan have another cause than a
+	// request: those that follow are told without what was in work, as long marks would
+	// hold up what the members tell each other.
+	massEnds = 32
+	massSpan = 5 * time.Second
 	// brokenFor is how long before an end a connection may have broken to count as
 	// broken by it: a server that falls silent is found out within a second.
 	brokenFor  = 1500 * time.Millisecond
@@ -75,8 +82,10 @@
 	collected uint32
 	// recent and answers are the last ends, and answers to suspected requests, in this
 	// failure domain, told to the others.
-	recent    []member.RemoteEnd
-	recentOK  []member.Answer
+	recent   []member.RemoteEnd
+	recentOK []member.Answer
+	// lastEnds is when the last ends in this failure domain were heard of.
+	lastEnds  []time.Duration
 	described map[quarantine.Mark]string
 	tidied    time.Duration
 }
@@ -156,9 +165,7 @@
 // tellLater tells others that a suspected request was answered, unless another node has
 // told it by then: many nodes see answers to what many callers ask. The lock is held.
 func (q *quarantiner) tellLater(m quarantine.Mark) {
-	members := len(q.n.view.Load().members) + 1
-	wait := time.Duration(rand.Int64N(int64(members) * int64(tellSpread)))
-	time.AfterFunc(wait, func() {
+	time.AfterFunc(q.share(tellSpread), func() {
 		if !q.noteOK(member.Answer{Mark: uint64(m), AtMs: time.Now().UnixMilli()}) {
 			return
 		}
@@ -231,7 +238,18 @@
 
 // ended takes in that a start of the backend server beside this node has ended.
 func (q *quarantiner) ended(be *local) {
-	time.AfterFunc(endCollect, func() { q.collect(be) })
+	time.AfterFunc(endCollect+q.share(endSpread), func() { q.collect(be) })
+}
+
+// share draws a wait of up to so much for each member.
+func (q *quarantiner) share(each time.Duration) time.Duration {
+	members := len(q.n.view.Load().members) + 1
+	return time.Duration(rand.Int64N(int64(members) * int64(each)))
+}
+
+// isMass tells whether many backend servers have ended just now. The lock is held.
+func (q *quarantiner) isMass() bool {
+	return len(q.lastEnds) == massEnds && q.n.clock()-q.lastEnds[0] < massSpan
 }
 
 // collect tells of an end, and of the requests that were in work.
@@ -247,7 +265,10 @@
 		q.mu.Unlock()
 		return
 	}
-	marks := q.marksOf(requests)
+	var marks []uint64
+	if !q.isMass() {
+		marks = q.marksOf(requests)
+	}
 	q.lastEnd = &member.End{Start: be.start, Service: be.service, AtMs: time.Now().UnixMilli(), Marks: marks}
 	end := q.lastEnd
 	q.mu.Unlock()
@@ -262,6 +283,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.cleared = lastAnswers(q.cleared)
+	if q.lastEnd != nil && !lately(q.lastEnd.AtMs) {
+		q.lastEnd = nil
+	}
 	return q.lastEnd, slices.Clone(q.cleared)
 }
 
@@ -388,6 +412,8 @@
 	q.mu.Lock()
 	q.recent = append(q.recent, member.RemoteEnd{ID: id, End: *e})
 	q.recent = q.recent[max(0, len(q.recent)-member.SummaryEnds):]
+	q.lastEnds = append(q.lastEnds, q.n.clock())
+	q.lastEnds = q.lastEnds[max(0, len(q.lastEnds)-massEnds):]
 	q.mu.Unlock()
 	q.n.gossip.nudgeLinks()
 }
