Soak: stall the disks of replicas, and demand that the leaders stay

A node can now be told of a file that holds the syncs of its replicas' logs while it exists; the soak stalls disks between its other steps, by a plan of its own, so that the steps of a seed are the same with stalls and without.

--- a/cmd/umberbench/soak.go
+++ b/cmd/umberbench/soak.go
@@ -21,6 +21,8 @@
 	span        time.Duration
 	nodes       int
 	perSecond   int
+	// stalls tells whether disks stall.
+	stalls bool
 	// failed plays the runs that once broke a promise, in place of the seeds.
 	failed bool
 	// json is the file for the reports, or "".
@@ -79,13 +81,13 @@
 // runs are the runs to play.
 func (o soakOptions) runs(bin string) []soak.Options {
 	var out []soak.Options
-	add := func(seed uint64, span time.Duration) {
-		out = append(out, soak.Options{Bin: bin, Seed: seed, Span: span, Nodes: o.nodes, PerSecond: o.perSecond})
+	add := func(seed uint64, span time.Duration, stalls bool) {
+		out = append(out, soak.Options{Bin: bin, Seed: seed, Span: span, Stalls: stalls, Nodes: o.nodes, PerSecond: o.perSecond})
 	}
 	if o.failed {
 		for _, f := range soak.Failures {
 			fmt.Printf("seed %d: once %s\n", f.Seed, f.Cause)
-			add(f.Seed, f.Span)
+			add(f.Seed, f.Span, f.Stalls)
 		}
 		return out
 	}
@@ -94,7 +96,7 @@
 		first = 1 + rand.Uint64N(maxFreshSeed)
 	}
 	for i := range o.seeds {
-		add(first+uint64(i), o.span)
+		add(first+uint64(i), o.span, o.stalls)
 	}
 	return out
 }
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -17,11 +17,21 @@
 // broke a promise run for longer, by hand: soak.Failures.
 var soakSeeds = []uint64{102}
 
+// stallSeeds are the seeds that run here with stalling disks.
+var stallSeeds = []uint64{8240}
+
 // TestSoakKeepsThePromises disturbs a small fleet by the plans of fixed seeds.
-func TestSoakKeepsThePromises(t *testing.T) {
+func TestSoakKeepsThePromises(t *testing.T) { playSoak(t, soakSeeds, false) }
+
+// TestSoakWithStallingDisksKeepsThePromises lets the disks of replicas stall too, all the
+// time with the other steps, and then one after the other.
+func TestSoakWithStallingDisksKeepsThePromises(t *testing.T) { playSoak(t, stallSeeds, true) }
+
+func playSoak(t *testing.T, seeds []uint64, stalls bool) {
+	t.Helper()
 	g := gomega.NewWithT(t)
-	for _, seed := range soakSeeds {
-		rep, err := soak.Run(soak.Options{Bin: bin, Seed: seed, Span: soakSpan})
+	for _, seed := range seeds {
+		rep, err := soak.Run(soak.Options{Bin: bin, Seed: seed, Span: soakSpan, Stalls: stalls})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(rep.Broken).To(gomega.BeEmpty(), "seed %d, steps %v, logs in %s", seed, rep.Steps, rep.Folder)
 		g.Expect(rep.Served).To(gomega.BeNumerically(">", rep.Attempts/2))
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -35,6 +35,9 @@
 	Bootstrap []string `toml:"bootstrap"`
 	// DataFolder is where a replica keeps its state; empty for none.
 	DataFolder string `toml:"data_folder"`
+	// SyncHold is a file for drills: while it exists, syncs of the replicas' logs do not
+	// return, as on a disk that does not answer; empty for none.
+	SyncHold string `toml:"sync_hold"`
 	// Replicas is how many replicas the group should have.
 	Replicas int `toml:"replicas"`
 	// Shards is how many groups share the idempotency keys. It is fixed when
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -104,6 +104,9 @@
 		if err != nil {
 			return err
 		}
+		if r.n.opt.SyncHold != "" {
+			w.HoldSyncs(r.n.awaitHeldDisk)
+		}
 		var m stateMachine = &claimMachine{}
 		if id == configGroup {
 			m = &confMachine{n: r.n}
--- a/internal/soak/act.go
+++ b/internal/soak/act.go
@@ -45,6 +45,8 @@
 		m.Signal(syscall.SIGSTOP)
 		time.Sleep(s.For)
 		m.Signal(syscall.SIGCONT)
+	case s.Kind == Stall:
+		r.stall(m, s.For)
 	case s.Kind == Change:
 		r.operators.change(s.Target)
 	case s.Kind == Race:
@@ -165,6 +167,20 @@
 	}
 }
 
+// stall keeps the syncs of a replica's disk from returning for a while.
+func (r *run) stall(m *member, span time.Duration) {
+	m.stallMu.Lock()
+	defer m.stallMu.Unlock()
+	if err := os.WriteFile(m.syncHold, nil, 0o644); err != nil {
+		r.broke("soak", "cannot stall a disk: %v", err)
+		return
+	}
+	time.Sleep(span)
+	if err := os.Remove(m.syncHold); err != nil {
+		r.broke("soak", "cannot end a stall: %v", err)
+	}
+}
+
 // drain lets a backend server announce that it drains, and counts what it is
 // given once all must have heard.
 func (r *run) drain(m *member, sp *spell) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -62,6 +62,10 @@
 	servers []*standin.Server
 	options standin.Options
 
+	// stallMu is held while the disk stalls: as long as syncHold, a file, exists.
+	stallMu  sync.Mutex
+	syncHold string
+
 	// mu is held while the process is ended or started.
 	mu sync.Mutex
 	// starts counts the starts of the process.
@@ -105,12 +109,12 @@
 
 // add starts the node with an index.
 func (f *fleet) add(i int) error {
-	m := &member{starts: 1}
+	m := &member{starts: 1, syncHold: filepath.Join(f.Dir, fmt.Sprintf("hold-%d", i+1))}
 	f.members = append(f.members, m)
 	domain := fmt.Sprintf("d%d", i%replicas+1)
 	n, err := f.StartNode(harness.NodeSpec{
 		Domain: domain, Disk: i < replicas, Advertise: m.advertise,
-		Extra: []string{"replicas = 3", "min_voters = 2", `replace_after = "4s"`, fmt.Sprintf("stop_timeout = %q", stopTimeout)},
+		Extra: []string{"replicas = 3", "min_voters = 2", `replace_after = "4s"`, fmt.Sprintf("stop_timeout = %q", stopTimeout), fmt.Sprintf("sync_hold = %q", m.syncHold)},
 	})
 	m.Node = n
 	return err
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,8 @@
 	ServerSlow  Kind = "server-slow"
 	ServerFail  Kind = "server-fail" // it fails half of the requests
 
+	Stall Kind = "stall" // syncs of a replica's disk do not return
+
 	Change Kind = "change" // an operator changes the settings
 	Race   Kind = "race"   // two do so at once, on the same version
 )
@@ -47,19 +49,23 @@
 func (k Kind) takesDisk() bool { return k == Wipe || k == Replace }
 
 // needsDisk tells whether the kind is for nodes with a disk.
-func (k Kind) needsDisk() bool { return k.takesDisk() || k == Torn }
+func (k Kind) needsDisk() bool { return k.takesDisk() || k == Torn || k == Stall }
 
 // stopsProcess tells whether the kind ends the process of a node.
-func (k Kind) stopsProcess() bool { return k == Kill || k == Term || k.needsDisk() }
+func (k Kind) stopsProcess() bool {
+	return k == Kill || k == Term || k.takesDisk() || k == Torn
+}
 
 // harmless tells whether the kind disturbs no node.
 func (k Kind) harmless() bool { return k == Change || k == Race || k == Term }
 
 // Failure is a run that once broke a promise, kept to be played again.
 type Failure struct {
-	Seed  uint64
-	Span  time.Duration
-	Cause string
+	Seed uint64
+	Span time.Duration
+	// Stalls tells whether disks stalled.
+	Stalls bool
+	Cause  string
 }
 
 // stalled is a cause that shows only where syncs take 0.5 s and more.
@@ -68,10 +74,11 @@
 // Failures are the runs that broke a promise of the product, with the cause. A test
 // without the soak brings each cause about as well.
 var Failures = []Failure{
-	{8105, 25 * time.Second, "a replica that answered at two addresses was moved to and fro, and no lost disk replaced"},
-	{8240, 30 * time.Second, stalled},
-	{8308, 30 * time.Second, stalled},
-	{8309, 30 * time.Second, stalled},
+	{8105, 25 * time.Second, false, "a replica that answered at two addresses was moved to and fro, and no lost disk replaced"},
+	{8240, 30 * time.Second, true, stalled},
+	{8302, 30 * time.Second, true, stalled},
+	{8308, 30 * time.Second, true, stalled},
+	{8309, 30 * time.Second, true, stalled},
 }
 
 // Step is one injected fault, or one planned act of an operator.
@@ -130,6 +137,33 @@
 	return bearable(steps, replicas)
 }
 
+const (
+	// stallEvery is the mean time between two stalls, of any disk, and stallMost how
+	// long the longest lasts: one replica may be held silent for it, and is not replaced.
+	stallEvery = 3 * time.Second
+	stallMost  = 3500 * time.Millisecond
+	// stallLeast is longer than the time that a replica waits for a leader.
+	stallLeast = 500 * time.Millisecond
+)
+
+// StallPlan returns the stalls of disks for a seed, apart from the other steps: these
+// are the same with stalls and without. Stalls of several disks overlap.
+func StallPlan(seed uint64, replicas int, span time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, uint64(stallEvery)))
+	var steps []Step
+	for at := quietStart; at < span; at += time.Duration(r.ExpFloat64() * float64(stallEvery)) {
+		steps = append(steps, Step{At: at, Kind: Stall, Target: r.IntN(replicas), For: stallLeast + time.Duration(r.Int64N(int64(stallMost-stallLeast)))})
+	}
+	return steps
+}
+
+// together returns the steps of two plans in the order of their times.
+func together(a, b []Step) []Step {
+	all := slices.Concat(a, b)
+	slices.SortStableFunc(all, func(a, b Step) int { return int(a.At - b.At) })
+	return all
+}
+
 // bearable leaves out what would lose more disks than the replicas bear, and
 // puts what needs a disk on a node that has one.
 func bearable(steps []Step, replicas int) []Step {
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -39,6 +40,29 @@
 	})
 }
 
+// TestStallPlanFollowsFromItsSeed, names replicas alone, and leaves the other plan as it
+// is without stalls.
+func TestStallPlanFollowsFromItsSeed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		const span = 20 * time.Second
+		stalls := StallPlan(seed, replicas, span)
+		if !slices.Equal(stalls, StallPlan(seed, replicas, span)) {
+			t.Fatal("another plan for the same seed")
+		}
+		for _, s := range stalls {
+			if s.Kind != Stall || s.Target >= replicas || s.For < stallLeast || s.For > stallMost || s.At > span {
+				t.Fatalf("%v", s)
+			}
+		}
+		steps := Plan(seed, 6, replicas, span)
+		others := slices.DeleteFunc(together(steps, stalls), func(s Step) bool { return s.Kind == Stall })
+		if !slices.Equal(others, steps) {
+			t.Fatal("the stalls change the other steps")
+		}
+	})
+}
+
 // TestChecksFindWhatIsBroken gives the checks what a broken fleet would show.
 func TestChecksFindWhatIsBroken(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,6 +20,8 @@
 	Seed uint64
 	// Span is how long steps begin.
 	Span time.Duration
+	// Stalls tells whether disks stall too.
+	Stalls bool
 	// Nodes is how many nodes there are, at least 6.
 	Nodes int
 	// PerSecond is how many requests callers send in a second.
@@ -112,6 +114,9 @@
 // play carries the plan out under load and checks what it did.
 func (r *run) play() *Report {
 	steps := Plan(r.opt.Seed, r.opt.Nodes, replicas, r.opt.Span)
+	if r.opt.Stalls {
+		steps = together(steps, StallPlan(r.opt.Seed, replicas, r.opt.Span))
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	var load, acts sync.WaitGroup
 	load.Add(2)
@@ -130,6 +135,9 @@
 		r.broke("recovery", "not all is served %s after the last step: %v", recoverWithin, err)
 	}
 	repaired := r.awaitRepair()
+	if r.opt.Stalls {
+		r.stallOneByOne()
+	}
 	inForce := r.loseReplicas()
 	stop()
 	load.Wait()
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -63,6 +63,8 @@
 	last Loaded
 	// voted is the term and vote that are synced.
 	voted vote
+	// hold is called before each sync; nil for nothing.
+	hold func()
 }
 
 // vote is the part of a state that must be synced before it is acted on.
@@ -228,6 +230,16 @@
 	return err
 }
 
+// HoldSyncs has hold called before each sync: what is not synced is delayed with it, as
+// on a disk that does not answer. It is set before the log is used.
+func (w *WAL) HoldSyncs(hold func()) { w.hold = hold }
+
+func (w *WAL) awaitDisk() {
+	if w.hold != nil {
+		w.hold()
+	}
+}
+
 // Save persists a Ready and syncs it.
 func (w *WAL) Save(r *raft.Ready) error {
 	if r.Snapshot != nil {
@@ -263,6 +275,7 @@
 	if lazy && voteOf(*rec.State) == w.voted {
 		return nil
 	}
+	w.awaitDisk()
 	if err := w.f.Sync(); err != nil {
 		return fault.Wrap(fault.Corrupt, err, "cannot sync the log")
 	}
@@ -273,6 +286,7 @@
 // Reset replaces the folder's content by a snapshot, a state and the entries
 // after the snapshot. The new files take the place of the old ones whole.
 func (w *WAL) Reset(snap raft.Snapshot, st raft.State, entries []raft.Entry) error {
+	w.awaitDisk()
 	payload, err := msgpack.Marshal(&snap)
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "cannot encode a snapshot")
