--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,8 @@
 	tellSpread   = 2 * time.Millisecond
 	describedMax = 256
 	pathShown    = 128
+	// namesSaid bounds the marks that one line names.
+	namesSaid = 4
 	// tidyEvery is the time between two looks for what is to be forgotten.
 	tidyEvery = time.Minute
 )
@@ -449,17 +452,25 @@
 			q.tellLater(m)
 		}
 	}
-	for _, h := range held {
-		if q.table.Ends(h.Mark) == 0 {
-			continue
-		}
-		q.n.event("quarantine", "Requests like "+q.name(h.Mark)+" are refused for "+h.Left.Round(time.Second).String()+": "+
-			strconv.Itoa(h.Ends)+" backend servers ended while they ran one.")
-	}
+	q.sayHeld(held)
 	q.rebuild()
 	return true
 }
 
+// sayHeld tells which requests are refused from now on. The lock is held.
+func (q *quarantiner) sayHeld(held []quarantine.Held) {
+	held = slices.DeleteFunc(held, func(h quarantine.Held) bool { return q.table.Ends(h.Mark) == 0 })
+	if len(held) == 0 {
+		return
+	}
+	names := make([]string, 0, namesSaid)
+	for _, h := range held[:min(len(held), namesSaid)] {
+		names = append(names, q.name(h.Mark))
+	}
+	q.n.event("quarantine", "Requests like "+strings.Join(names, ", ")+" are refused for "+held[0].Left.Round(time.Second).String()+": "+
+		strconv.Itoa(held[0].Ends)+" backend servers ended while they ran one. Marks: "+strconv.Itoa(len(held))+".")
+}
+
 // lately tells whether a time of the Unix clock, in milliseconds, is recent. The clocks
 // of two nodes may differ.
 func lately(ms int64) bool { return time.Since(time.UnixMilli(ms)).Abs() < endHeard }
