Send nothing by a start of a backend server that was given up

What callers saw: a request had its slot and no connection yet when its backend server's earlier start was given up; it dialled the address all the same, where the later start stood, and waited there to its deadline on a client that nobody gives up any more.

Cause: a client closed its connections and forgot that it had been given up. Now it refuses to hand out or keep one from then on, as not run, so that the node sends the request to the later start as that one's own.

The test now waits until the server has the request, which it always said it tests; the case between slot and server is in the new tests.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -47,6 +47,8 @@
 	open int
 	// made are the open connections, in use or idle.
 	made map[*conn]struct{}
+	// abandoned is set once no connection may be made or used any more.
+	abandoned bool
 
 	lost  atomic.Int64
 	times [MaxKinds]firstByte
@@ -255,7 +257,10 @@
 func (c *Client) get(s *scope.Scope) (*conn, error) {
 	now := time.Now()
 	for {
-		cn, dial := c.pop()
+		cn, dial, gone := c.pop()
+		if gone {
+			return nil, errAbandoned()
+		}
 		if cn == nil && !dial {
 			return nil, fault.New(fault.Overload, "all declared connections to the backend server are in use")
 		}
@@ -293,19 +298,27 @@
 	return most
 }
 
-func (c *Client) pop() (cn *conn, dial bool) {
+// pop returns an idle connection, or tells to dial one, or that the client was abandoned.
+func (c *Client) pop() (cn *conn, dial, gone bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.abandoned {
+		return nil, false, true
+	}
 	if n := len(c.idle); n > 0 {
 		cn = c.idle[n-1]
 		c.idle = c.idle[:n-1]
-		return cn, false
+		return cn, false, false
 	}
 	if c.open >= c.opt.MaxConns {
-		return nil, false
+		return nil, false, false
 	}
 	c.open++
-	return nil, true
+	return nil, true, false
+}
+
+func errAbandoned() *fault.Error {
+	return fault.New(fault.BackendLost, "this start of the backend server was given up")
 }
 
 func (c *Client) dial(s *scope.Scope) (*conn, error) {
@@ -318,8 +331,13 @@
 	}
 	cn := &conn{Conn: raw, br: bufio.NewReader(raw), bw: bufio.NewWriter(raw)}
 	c.mu.Lock()
+	abandoned := c.abandoned
 	c.made[cn] = struct{}{}
 	c.mu.Unlock()
+	if abandoned {
+		c.discard(cn)
+		return nil, errAbandoned()
+	}
 	return cn, nil
 }
 
@@ -339,9 +357,10 @@
 }
 
 // Abandon closes all connections, those in use too: their requests end with an
-// error that says that they may have run.
+// error that says that they may have run. No request is sent from then on.
 func (c *Client) Abandon() {
 	c.mu.Lock()
+	c.abandoned = true
 	made := make([]*conn, 0, len(c.made))
 	for cn := range c.made {
 		made = append(made, cn)
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -237,3 +237,52 @@
 	g.Expect(c.open).To(gomega.Equal(len(c.idle)), "connections that hung are gone")
 	g.Expect(c.made).To(gomega.HaveLen(c.open))
 }
+
+// A backend server's start was given up while a request had its slot and no connection
+// yet. It dialled the address all the same, where another start stood by then, and waited
+// for an answer to its deadline.
+func TestNothingIsSentOnceAStartIsGivenUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var served atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		served.Add(1)
+		echo(w, r)
+	}))
+	t.Cleanup(s.Close)
+	c := New(strings.TrimPrefix(s.URL, "http://"), options())
+	_, err := get(c, "/", time.Second)
+	g.Expect(err).To(gomega.BeNil())
+	c.Abandon()
+	_, err = get(c, "/", time.Second)
+	g.Expect(err).NotTo(gomega.BeNil())
+	g.Expect(err.Code).To(gomega.Equal(fault.BackendLost))
+	g.Expect(err.Run).To(gomega.Equal(fault.RunNo))
+	g.Expect(served.Load()).To(gomega.BeEquivalentTo(1))
+}
+
+// Starts are given up while requests dial: none of the connections outlives that.
+func TestNoConnectionOutlivesAStartThatIsGivenUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const requests = 16
+	hang := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hang }))
+	t.Cleanup(s.Close)
+	t.Cleanup(func() { close(hang) })
+	for round := range 50 {
+		o := options()
+		o.MaxConns = requests
+		c := New(strings.TrimPrefix(s.URL, "http://"), o)
+		ended := make(chan struct{}, requests)
+		for range requests {
+			go func() {
+				_, _ = get(c, "/", 5*time.Second)
+				ended <- struct{}{}
+			}()
+		}
+		time.Sleep(time.Duration(round*20) * time.Microsecond)
+		c.Abandon()
+		for range requests {
+			g.Eventually(ended, time.Second).Should(gomega.Receive())
+		}
+	}
+}
--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -18,6 +18,13 @@
 
 // silentServer takes connections and never answers.
 func silentServer(t *testing.T) string {
+	t.Helper()
+	return hearingServer(t, nil)
+}
+
+// hearingServer is a silentServer that tells on heard, unless it is nil, of each
+// connection on which a request begins.
+func hearingServer(t *testing.T, heard chan<- struct{}) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -31,6 +38,14 @@
 				return
 			}
 			t.Cleanup(func() { _ = c.Close() })
+			if heard == nil {
+				continue
+			}
+			go func() {
+				if n, _ := c.Read(make([]byte, 1)); n > 0 {
+					heard <- struct{}{}
+				}
+			}()
 		}
 	}()
 	return ln.Addr().String()
@@ -124,13 +139,15 @@
 	g := gomega.NewWithT(t)
 	n := startNode(t, "a", nil, nil)
 	useSettings(t, "[fleet.f.service.s]\n[fleet.f.service.s.kind.k]\nidempotent = false\ndeadline = \"20s\"\n", n)
-	addr := silentServer(t)
+	heard := make(chan struct{}, 8)
+	addr := hearingServer(t, heard)
 	g.Expect(n.Announce(said(addr, 1000, 1))).To(gomega.BeNil())
 	n.serves("f/s", 1)
 	seen := n.routes.Load().Services["f/s"].Own[0].Seen
 	done := make(chan result, 1)
 	go func() { done <- n.call("f/s/k", "lost", nil, nil) }()
-	g.Eventually(func() int { return n.gate.load().inflight }, 5*time.Second, time.Millisecond).Should(gomega.Equal(1))
+	g.Eventually(heard, 5*time.Second).Should(gomega.Receive())
+	g.Expect(n.gate.load().inflight).To(gomega.Equal(1))
 	g.Expect(n.Announce(said(addr, 2000, 1))).To(gomega.BeNil())
 	var r result
 	g.Eventually(done, 3*time.Second).Should(gomega.Receive(&r))
