--- /dev/null
+++ b/internal/node/quarantine_news.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/umberthread/umberthread/member"
+	"github.com/umberthread/umberthread/quarantine"
+)
+
+// heardMember takes in what a member of this failure domain tells.
+func (q *quarantiner) heardMember(id string, m *member.Meta) {
+	if m.Ended != nil {
+		q.heardEnd(id, m.Ended)
+	}
+	for _, a := range m.Answered {
+		if q.heardOK(a) {
+			q.n.gossip.nudgeLinks()
+		}
+	}
+}
+
+// heardOK takes in that a suspected request was answered elsewhere; false if it is no
+// news.
+func (q *quarantiner) heardOK(a member.Answer) bool {
+	if !lately(a.AtMs) {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.rememberOK(a) {
+		return false
+	}
+	mark := quarantine.Mark(a.Mark)
+	q.answers.Note(q.n.clock(), quarantine.Marks{Content: mark})
+	q.clear(mark)
+	q.rebuild()
+	return true
+}
+
+// heardEnd takes in an end beside a member of this failure domain, this node too.
+func (q *quarantiner) heardEnd(id string, e *member.End) {
+	if !q.heard(id, e) {
+		return
+	}
+	q.mu.Lock()
+	q.recent[member.EndSlot(id, e.Start)] = &member.RemoteEnd{ID: id, End: *e}
+	q.lastEnds = append(q.lastEnds, q.n.clock())
+	q.lastEnds = q.lastEnds[max(0, len(q.lastEnds)-massEnds):]
+	q.mu.Unlock()
+	q.n.gossip.nudgeLinks()
+}
+
+// heardRemote takes in what another failure domain tells.
+func (q *quarantiner) heardRemote(s *member.Summary) {
+	if s.End != nil {
+		q.heard(s.End.ID, &s.End.End)
+	}
+	for _, a := range s.Answered {
+		q.heardOK(a)
+	}
+}
+
+// heard counts an end; false if it is no news.
+func (q *quarantiner) heard(id string, e *member.End) bool {
+	if !lately(e.AtMs) {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.n.clock()
+	end := quarantine.End{Start: id + "/" + strconv.FormatUint(uint64(e.Start), 10), Service: e.Service}
+	for _, m := range e.Marks {
+		end.Marks = append(end.Marks, quarantine.Mark(m))
+	}
+	held, news := q.table.Ended(now, end)
+	if !news {
+		return false
+	}
+	for _, m := range end.Marks {
+		if q.table.Ends(m) > 0 && q.answers.Lately(now, m) {
+			q.clear(m)
+			q.tellLater(m)
+		}
+	}
+	q.sayHeld(held)
+	q.rebuild()
+	return true
+}
+
+// sayHeld tells which requests are refused from now on. The lock is held.
+func (q *quarantiner) sayHeld(held []quarantine.Held) {
+	held = slices.DeleteFunc(held, func(h quarantine.Held) bool { return q.table.Ends(h.Mark) == 0 })
+	if len(held) == 0 {
+		return
+	}
+	names := make([]string, 0, namesSaid)
+	for _, h := range held[:min(len(held), namesSaid)] {
+		names = append(names, q.name(h.Mark))
+	}
+	q.n.event("quarantine", "Requests like "+strings.Join(names, ", ")+" are refused for "+held[0].Left.Round(time.Second).String()+": "+
+		strconv.Itoa(held[0].Ends)+" backend servers ended while they ran one. Marks: "+strconv.Itoa(len(held))+".")
+}
+
+// lately tells whether a time of the Unix clock, in milliseconds, is recent. The clocks
+// of two nodes may differ.
+func lately(ms int64) bool { return time.Since(time.UnixMilli(ms)).Abs() < endHeard }
+
+// summaries returns what this failure domain tells the others.
+func (q *quarantiner) summaries() []member.Summary {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.recentOK = lastAnswers(q.recentOK)
+	var out []member.Summary
+	for slot, e := range q.recent {
+		s := member.Summary{Domain: q.n.opt.Domain, Service: member.EndedService(slot)}
+		if e != nil && lately(e.AtMs) {
+			s.End = e
+		}
+		if slot == 0 {
+			s.Answered = slices.Clone(q.recentOK)
+		}
+		if !s.Blank() {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// heldNow returns what this node refuses.
+func (q *quarantiner) heldNow() []quarantine.Held {
+	if q.view.Load().Empty() {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Held(q.n.clock())
+}
+
+// adopt takes over what another node refuses.
+func (q *quarantiner) adopt(held []quarantine.Held) {
+	if len(held) == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.table.Adopt(q.n.clock(), held)
+	q.rebuild()
+}
+
+// tellLater tells others that a suspected request was answered, unless another node has
+// told it by then: many nodes see answers to what many callers ask. The lock is held.
+func (q *quarantiner) tellLater(m quarantine.Mark) {
+	time.AfterFunc(q.share(tellSpread), func() {
+		if !q.noteOK(member.Answer{Mark: uint64(m), AtMs: time.Now().UnixMilli()}) {
+			return
+		}
+		q.n.publishMeta()
+		q.n.gossip.nudgeLinks()
+	})
+}
+
+// noteOK keeps an answer to tell others of; false if it was told lately.
+func (q *quarantiner) noteOK(a member.Answer) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.rememberOK(a) {
+		return false
+	}
+	q.cleared = lastAnswers(append(q.cleared, a))
+	return true
+}
+
+// rememberOK notes an answer to tell other failure domains of; false if one like it was
+// told lately. The lock is held.
+func (q *quarantiner) rememberOK(a member.Answer) bool {
+	q.recentOK = lastAnswers(q.recentOK)
+	if slices.ContainsFunc(q.recentOK, func(b member.Answer) bool { return a.Mark == b.Mark }) {
+		return false
+	}
+	q.recentOK = lastAnswers(append(q.recentOK, a))
+	return true
+}
+
+// lastAnswers returns the last ones that are not old.
+func lastAnswers(as []member.Answer) []member.Answer {
+	as = slices.DeleteFunc(as, func(a member.Answer) bool { return !lately(a.AtMs) })
+	return as[max(0, len(as)-member.MaxAnswers):]
+}
