Quarantine: count an end once, also among very many

The ends that are known were forgotten after 5 s where they were more than 4,096, or all at once; members tell an end for 30 s, so that it counted again. Now they are kept for a minute, and what comes beyond is not counted.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -44,6 +44,18 @@
 	g.Expect(table.View(0).Ends(Marks{Content: poison})).To(gomega.BeZero())
 }
 
+// An end is told again for half a minute, also while very many others are counted.
+func TestAnEndToldAgainAmongManyIsCountedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable()
+	for i := range 3 * startsMax {
+		now := time.Duration(i) * 30 * time.Second / (3 * startsMax)
+		table.Ended(now, End{Start: fmt.Sprint("other-", i), Service: "f/t"})
+		end(table, now, 1)
+	}
+	g.Expect(table.Ends(poison)).To(gomega.BeZero())
+}
+
 func TestAnAnswerEndsTheSuspicion(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table := newTable()
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -34,8 +34,11 @@
 	generation = 1024
 	// viewMax bounds the marks of a View.
 	viewMax = 256
-	// startsMax bounds the starts of backend servers whose end is known.
+	// startsMax bounds the starts of backend servers whose end is known, and startsFor
+	// is for how long they are: ends are told again for a while. What ends beyond that
+	// is not counted.
 	startsMax = 4096
+	startsFor = time.Minute
 	// servicesMax bounds the services whose ends are counted, and serviceEnds the ends
 	// of each.
 	servicesMax = 256
@@ -88,10 +91,9 @@
 // Ended counts the end of a backend server. It returns the marks that are in quarantine
 // from now on, and false if the end was counted before.
 func (t *Table) Ended(now time.Duration, e End) (held []Held, news bool) {
-	if _, known := t.starts[e.Start]; known {
+	if _, known := t.starts[e.Start]; known || !t.noteStart(now, e) {
 		return nil, false
 	}
-	t.noteStart(now, e)
 	for _, m := range e.Marks {
 		if m != 0 && t.count(now, m, e.Service) {
 			held = append(held, t.tell(now, m, t.hot[m]))
@@ -100,12 +102,13 @@
 	return held, true
 }
 
-func (t *Table) noteStart(now time.Duration, e End) {
+// noteStart remembers an end; false if there is no room for it.
+func (t *Table) noteStart(now time.Duration, e End) bool {
 	if len(t.starts) >= startsMax {
-		maps.DeleteFunc(t.starts, func(_ string, at time.Duration) bool { return now-at > stragglers })
+		maps.DeleteFunc(t.starts, func(_ string, at time.Duration) bool { return now-at > startsFor })
 	}
 	if len(t.starts) >= startsMax {
-		clear(t.starts)
+		return false
 	}
 	t.starts[e.Start] = now
 	if _, known := t.services[e.Service]; !known && len(t.services) >= servicesMax {
@@ -113,6 +116,7 @@
 	}
 	ends := append(t.services[e.Service], now)
 	t.services[e.Service] = ends[max(0, len(ends)-serviceEnds):]
+	return true
 }
 
 // mayCause tells whether a mark was in work at a good share of the ends in a service.
