--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -69,6 +69,7 @@
 	soaks.Flag("nodes", "Number of nodes of each fleet, at least 6.").Default("6").IntVar(&sk.nodes)
 	soaks.Flag("rate", "Requests per second to each fleet.").Default("120").IntVar(&sk.perSecond)
 	soaks.Flag("stalls", "Let the disks of replicas stall too, for 0.5 to 3.5 s at a time.").BoolVar(&sk.stalls)
+	soaks.Flag("poison", "Send a request that ends backend servers once all is well again.").BoolVar(&sk.poison)
 	soaks.Flag("failed", "Play the runs that once broke a promise, in place of the seeds.").BoolVar(&sk.failed)
 	soaks.Flag("json", "File for the reports as JSON, durations in nanoseconds.").StringVar(&sk.json)
 	runs[soaks.FullCommand()] = func() error { return runSoak(*bin, sk) }
--- a/cmd/umberbench/soak.go
+++ b/cmd/umberbench/soak.go
@@ -21,8 +21,9 @@
 	span        time.Duration
 	nodes       int
 	perSecond   int
-	// stalls tells whether disks stall.
-	stalls bool
+	// stalls tells whether disks stall, and poison whether a request that ends backend
+	// servers is sent.
+	stalls, poison bool
 	// failed plays the runs that once broke a promise, in place of the seeds.
 	failed bool
 	// json is the file for the reports, or "".
@@ -82,7 +83,7 @@
 func (o soakOptions) runs(bin string) []soak.Options {
 	var out []soak.Options
 	add := func(seed uint64, span time.Duration, stalls bool) {
-		out = append(out, soak.Options{Bin: bin, Seed: seed, Span: span, Stalls: stalls, Nodes: o.nodes, PerSecond: o.perSecond})
+		out = append(out, soak.Options{Bin: bin, Seed: seed, Span: span, Stalls: stalls, Poison: o.poison, Nodes: o.nodes, PerSecond: o.perSecond})
 	}
 	if o.failed {
 		for _, f := range soak.Failures {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -59,6 +60,8 @@
 	unsent bool
 	// notRun is set if the answer says that the request was not executed.
 	notRun bool
+	// reason is why a request was refused, as the refusal names it.
+	reason string
 	// wrong says what is wrong with a success.
 	wrong string
 }
@@ -120,9 +123,14 @@
 
 // send sends one attempt. With a key, the id is that of the key, so that the
 // backend servers count the executions of all its attempts together.
-func (c *callers) send(kind, entry int, key string) (a attempt) {
-	s := sorts[kind]
-	a = attempt{id: key, sort: kind, entry: entry, sent: time.Now()}
+func (c *callers) send(kind, entry int, key string) attempt {
+	a := c.sendSort(sorts[kind], entry, key)
+	a.sort = kind
+	return a
+}
+
+func (c *callers) sendSort(s sort, entry int, key string) (a attempt) {
+	a = attempt{id: key, entry: entry, sent: time.Now()}
 	if a.id == "" {
 		a.id = uuid.NewString()
 	}
@@ -157,6 +165,11 @@
 	a.notRun = resp.Header.Get(node.HeaderRun) == "no"
 	if a.status == http.StatusOK {
 		a.wrong = wrongAnswer(string(body), a.id, s.body)
+		return a
+	}
+	var p node.Problem
+	if json.Unmarshal(body, &p) == nil {
+		a.reason = p.Reason
 	}
 	return a
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -76,7 +76,8 @@
 // three failure domains.
 type fleet struct {
 	*harness.Fleet
-	members []*member
+	members  []*member
+	poisoned poisoned
 }
 
 func startFleet(bin string, nodes int) (*fleet, error) {
@@ -100,7 +101,7 @@
 		return f, err
 	}
 	for i, m := range f.members {
-		if err := m.startServer(i); err != nil {
+		if err := m.startServer(i, f.poisoned.endsOn); err != nil {
 			return f, err
 		}
 	}
@@ -146,10 +147,10 @@
 
 // startServer starts the backend server beside the node: every other one is of
 // the second service.
-func (m *member) startServer(i int) error {
+func (m *member) startServer(i int, endsOn func(path string, body []byte) bool) error {
 	m.options = standin.Options{
 		Service: frontService, Listen: "127.0.0.1:0", Node: m.HTTP, Slots: slots, Connections: 4 * slots,
-		Kinds: frontKinds, Renew: 300 * time.Millisecond,
+		Kinds: frontKinds, Renew: 300 * time.Millisecond, EndsOn: endsOn,
 	}
 	if i/replicas%2 == 1 {
 		m.options.Service, m.options.Kinds = deepService, deepKinds
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,8 +20,9 @@
 	Seed uint64
 	// Span is how long steps begin.
 	Span time.Duration
-	// Stalls tells whether disks stall too.
-	Stalls bool
+	// Stalls tells whether disks stall too, and Poison whether a request that ends
+	// backend servers is sent once all is well again.
+	Stalls, Poison bool
 	// Nodes is how many nodes there are, at least 6.
 	Nodes int
 	// PerSecond is how many requests callers send in a second.
@@ -138,6 +139,9 @@
 	if r.opt.Stalls {
 		r.stallOneByOne()
 	}
+	if r.opt.Poison {
+		r.poison()
+	}
 	inForce := r.loseReplicas()
 	stop()
 	load.Wait()
