Quarantine: take in each answer that ends a suspicion

An answer to a suspected request was told once in 30 s. Where such a request was suspected again within that time, the next answer was neither told nor taken in, and nodes that see none of their own went on refusing it. Now a later answer counts as news; two are told 2 s apart at least. The test failed before, in its second round.

--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -15,6 +15,8 @@
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/standin"
 	"github.com/umberthread/umberthread/member"
+	"github.com/umberthread/umberthread/quarantine"
+	"github.com/umberthread/umberthread/settings"
 )
 
 // crew is a fleet of nodes whose backend servers come back some seconds after they
@@ -380,3 +382,25 @@
 	q.lastEnd.AtMs -= endHeard.Milliseconds()
 	g.Expect(n.meta().Ended).To(gomega.BeNil())
 }
+
+// Healthy requests are suspected and cleared by an answer, and then suspected again before
+// the first answer is forgotten. The second answer is told and taken in as well.
+func TestEachAnswerEndsASuspicion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "domain-0", nil, nil)
+	q := n.quarantine
+	const mark = 1 << 50
+	c := &call{marks: quarantine.Marks{Content: mark}, policy: &settings.Policy{Quarantine: true}}
+	suspect := func(round uint32) {
+		for i := range uint32(quarantine.Ends) {
+			q.heardEnd("other", &member.End{Start: 10*round + i, AtMs: time.Now().UnixMilli(), Service: "f/s", Marks: []uint64{mark}})
+		}
+	}
+	for round := range uint32(3) {
+		suspect(round)
+		g.Expect(q.refusal(c)).NotTo(gomega.BeNil())
+		q.heardMember("another", &member.Meta{Answered: []member.Answer{{Mark: mark, AtMs: time.Now().UnixMilli() + int64(round)}}})
+		g.Expect(q.refusal(c)).To(gomega.BeNil(), "round %d", round)
+		q.answers.Note(-time.Hour, c.marks)
+	}
+}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -42,6 +42,8 @@
 	// tellSpread is the time, for each member, over which those that could tell the
 	// same are spread.
 	tellSpread = 2 * time.Millisecond
+	// answerAgain is the least time between two answers that are told of the same mark.
+	answerAgain = 2 * time.Second
 	// describedMax bounds the marks whose requests this node can name, and pathShown
 	// the bytes of a path that are shown.
 	describedMax = 256
@@ -71,10 +73,10 @@
 	next   int
 	// collected is the last start whose end was taken in.
 	collected uint32
-	// recent and recentOK are the last ends, and answers to suspected requests, in this
+	// recent and recentAnswers are the last ends, and answers to suspected requests, in this
 	// failure domain, told to the others.
-	recent   [member.EndSlots]*member.RemoteEnd
-	recentOK []member.Answer
+	recent        [member.EndSlots]*member.RemoteEnd
+	recentAnswers []member.Answer
 	// lastEnds is when the last ends in this failure domain were heard of.
 	lastEnds []time.Duration
 	// described names a request for the marks of which this node has seen one.
--- a/internal/node/quarantine_news.go
+++ b/internal/node/quarantine_news.go
@@ -16,21 +16,21 @@
 		q.heardEnd(id, m.Ended)
 	}
 	for _, a := range m.Answered {
-		if q.heardOK(a) {
+		if q.heardAnswer(a) {
 			q.n.gossip.nudgeLinks()
 		}
 	}
 }
 
-// heardOK takes in that a suspected request was answered elsewhere; false if it is no
+// heardAnswer takes in that a suspected request was answered elsewhere; false if it is no
 // news.
-func (q *quarantiner) heardOK(a member.Answer) bool {
+func (q *quarantiner) heardAnswer(a member.Answer) bool {
 	if !lately(a.AtMs) {
 		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.rememberOK(a) {
+	if !q.rememberAnswer(a) {
 		return false
 	}
 	mark := quarantine.Mark(a.Mark)
@@ -59,7 +59,7 @@
 		q.heard(s.End.ID, &s.End.End)
 	}
 	for _, a := range s.Answered {
-		q.heardOK(a)
+		q.heardAnswer(a)
 	}
 }
 
@@ -112,7 +112,7 @@
 func (q *quarantiner) summaries() []member.Summary {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.recentOK = lastAnswers(q.recentOK)
+	q.recentAnswers = lastAnswers(q.recentAnswers)
 	var out []member.Summary
 	for slot, e := range q.recent {
 		s := member.Summary{Domain: q.n.opt.Domain, Service: member.EndedService(slot)}
@@ -120,7 +120,7 @@
 			s.End = e
 		}
 		if slot == 0 {
-			s.Answered = slices.Clone(q.recentOK)
+			s.Answered = slices.Clone(q.recentAnswers)
 		}
 		if !s.Blank() {
 			out = append(out, s)
@@ -154,7 +154,7 @@
 // told it by then: many nodes see answers to what many callers ask. The lock is held.
 func (q *quarantiner) tellLater(m quarantine.Mark) {
 	time.AfterFunc(q.share(tellSpread), func() {
-		if !q.noteOK(member.Answer{Mark: uint64(m), AtMs: time.Now().UnixMilli()}) {
+		if !q.tellAnswer(member.Answer{Mark: uint64(m), AtMs: time.Now().UnixMilli()}) {
 			return
 		}
 		q.n.publishMeta()
@@ -162,25 +162,37 @@
 	})
 }
 
-// noteOK keeps an answer to tell others of; false if it was told lately.
-func (q *quarantiner) noteOK(a member.Answer) bool {
+// tellAnswer keeps an answer to tell others of; false if one like it was told just now.
+func (q *quarantiner) tellAnswer(a member.Answer) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.rememberOK(a) {
+	if told := q.toldAt(a.Mark); a.AtMs-told < answerAgain.Milliseconds() || !q.rememberAnswer(a) {
 		return false
 	}
 	q.cleared = lastAnswers(append(q.cleared, a))
 	return true
 }
 
-// rememberOK notes an answer to tell other failure domains of; false if one like it was
-// told lately. The lock is held.
-func (q *quarantiner) rememberOK(a member.Answer) bool {
-	q.recentOK = lastAnswers(q.recentOK)
-	if slices.ContainsFunc(q.recentOK, func(b member.Answer) bool { return a.Mark == b.Mark }) {
+// toldAt returns when an answer to a request with the mark was told last, 0 if none was
+// lately. The lock is held.
+func (q *quarantiner) toldAt(mark uint64) int64 {
+	var at int64
+	for _, a := range q.recentAnswers {
+		if a.Mark == mark {
+			at = max(at, a.AtMs)
+		}
+	}
+	return at
+}
+
+// rememberAnswer notes an answer to tell other failure domains of; false if it is no news.
+// The lock is held.
+func (q *quarantiner) rememberAnswer(a member.Answer) bool {
+	if a.AtMs <= q.toldAt(a.Mark) {
 		return false
 	}
-	q.recentOK = lastAnswers(append(q.recentOK, a))
+	q.recentAnswers = slices.DeleteFunc(q.recentAnswers, func(b member.Answer) bool { return a.Mark == b.Mark })
+	q.recentAnswers = lastAnswers(append(q.recentAnswers, a))
 	return true
 }
 
