--- a/cmd/umberctl/main.go
+++ b/cmd/umberctl/main.go
@@ -97,6 +97,9 @@
 	members := c.app.Command("members", "Print the members of the failure domains.")
 	c.runs[members.FullCommand()] = func(o ctl.Out) error { return ctl.Members(o, *c.nodes) }
 
+	quarantine := c.app.Command("quarantine", "Print which requests are refused as they end the backend servers that run them.")
+	c.runs[quarantine.FullCommand()] = func(o ctl.Out) error { return ctl.Quarantine(o, *c.nodes) }
+
 	requests := c.app.Command("requests", "Print why requests were shed, routed or retried.")
 	id := requests.Flag("id", "Only the request with this id.").String()
 	reason := requests.Flag("reason", "Only requests with this reason, such as overload.").String()
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -56,3 +56,16 @@
 	g.Expect(text).NotTo(gomega.ContainSubstring("<script"))
 	g.Expect(text).NotTo(gomega.ContainSubstring("src="))
 }
+
+func TestQuarantinedMarksAreJoinedOverNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	got := mergeQuarantined([][]node.QuarantineStatus{
+		{{Mark: "a", Ends: 3, LeftMs: 900}, {Mark: "b", Ends: 5, LeftMs: 70}},
+		{{Mark: "a", Request: "f/s/k/x", Ends: 4, LeftMs: 800}},
+		nil,
+	})
+	g.Expect(got).To(gomega.Equal([]Quarantined{
+		{Mark: "b", Nodes: 1, Ends: 5, NextMs: 70},
+		{Mark: "a", Request: "f/s/k/x", Nodes: 2, Ends: 4, NextMs: 800},
+	}))
+}
