Soak: judge a request with a key by its first attempt

Traced: the keys were first sent before the single stalls, into the last cut of the plan ("no heartbeat", the outcome unknown); their resends were refused as "another attempt with this key is in work", which is true and owed to the cut. Requests that are first sent in the span are still judged at each attempt, and a test shows that one which fails is found.

--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -93,3 +93,23 @@
 	}
 	g.Expect(found).To(gomega.Equal(map[string]int{"at most once": 1, "honest refusal": 1, "whole answer": 2, "planned stop": 1, "drain": 1}))
 }
+
+// A request with a key that fails while a disk stalls is found; the resend of one that was
+// cut before is not held against the stall.
+func TestKeyedRequestsAreJudgedByTheirFirstAttempt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const book = 2
+	r := &run{callers: newCallers(nil)}
+	began := time.Now()
+	r.callers.attempts = []attempt{
+		{id: "cut before", sort: book, sent: began.Add(-time.Second)},
+		{id: "cut before", sort: book, status: 409, sent: began.Add(time.Second)},
+		{id: "served", sort: book, status: 200, sent: began.Add(time.Second)},
+		{id: "later", sort: book, status: 503, sent: began.Add(time.Hour)},
+	}
+	r.checkKeyed(began, began.Add(time.Minute))
+	g.Expect(r.broken).To(gomega.BeEmpty())
+	r.callers.attempts = append(r.callers.attempts, attempt{id: "refused", sort: book, status: 503, sent: began.Add(time.Second)})
+	r.checkKeyed(began, began.Add(time.Minute))
+	g.Expect(r.broken).To(gomega.HaveLen(1))
+}
--- a/internal/soak/stall.go
+++ b/internal/soak/stall.go
@@ -31,9 +31,23 @@
 			r.broke("stalled disk", "the groups are led by %v, before the disk of node %d stalled by %v", after, target+1, before)
 		}
 	}
-	ended := time.Now()
-	for _, a := range r.callers.taken() {
-		if sorts[a.sort].keyed && a.sent.After(began) && a.sent.Before(ended) && a.status != http.StatusOK {
+	r.checkKeyed(began, time.Now())
+}
+
+// checkKeyed checks that each request with a key was served at once that was first sent
+// in a span. A resend of one whose earlier attempt was cut before is rightly refused: that
+// attempt may be in work.
+func (r *run) checkKeyed(began, ended time.Time) {
+	first := map[string]time.Time{}
+	attempts := r.callers.taken()
+	for _, a := range attempts {
+		if at, ok := first[a.id]; !ok || a.sent.Before(at) {
+			first[a.id] = a.sent
+		}
+	}
+	for _, a := range attempts {
+		inSpan := first[a.id].After(began) && a.sent.Before(ended)
+		if sorts[a.sort].keyed && inSpan && a.status != http.StatusOK {
 			r.broke("stalled disk", "%s %s got status %d after %s while one disk stalled", sorts[a.sort].target, a.id, a.status, a.ended.Sub(a.sent).Round(time.Millisecond))
 		}
 	}
