--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -61,7 +61,7 @@
 		if in != nil && (ferr != nil || a.status >= http.StatusInternalServerError) {
 			c.tried(in.Addr, ferr, statusOf(a))
 		}
-		if ferr != nil && ferr.Code == fault.BackendLost && ferr.Run != fault.RunNo {
+		if brokeInWork(ferr) {
 			c.broken++
 		}
 		c.mayHaveRun = c.mayHaveRun || ferr == nil || ferr.Run != fault.RunNo
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -265,11 +265,17 @@
 
 // noteBroken remembers a request that may have been in work when its connection broke.
 func (n *Node) noteBroken(be *local, c *call, e *fault.Error) {
-	if e.Code == fault.BackendLost && e.Run != fault.RunNo {
+	if brokeInWork(e) {
 		n.quarantine.broke(be.start, c)
 	}
 }
 
+// brokeInWork tells whether a backend server was lost that may have been running the
+// request. e may be nil.
+func brokeInWork(e *fault.Error) bool {
+	return e != nil && e.Code == fault.BackendLost && e.Run != fault.RunNo
+}
+
 // kindTable gives each request kind a small number.
 type kindTable struct {
 	m    sync.Map
