--- a/rank/rank.go
+++ b/rank/rank.go
@@ -60,6 +60,17 @@
 	return Make(c, uint8(cohort))
 }
 
+// classBits is the number of bits of a class.
+const classBits = 2
+
+// ForWorkspace returns the rank of a request of a workspace with a class of its own.
+// That class decides first, then the class of the request kind, then the cohort of
+// the id, so that one workspace's least urgent requests are still shed first.
+func ForWorkspace(workspace, kind Class, requestID string) Rank {
+	cohort := xxhash.Sum64String(requestID) >> (64 - CohortBits)
+	return Make(workspace, uint8(kind)<<(CohortBits-classBits)|uint8(cohort>>classBits))
+}
+
 // Make returns the rank of a class and a cohort.
 func Make(c Class, cohort uint8) Rank {
 	return Rank(c)<<CohortBits | Rank(cohort)
