--- a/settings/key.go
+++ b/settings/key.go
@@ -63,6 +63,8 @@
 	// HealthPath and Connections describe the backend servers of a service.
 	HealthPath  string
 	Connections int
+	// WorkspaceRequired reports whether a request must carry the key of a workspace.
+	WorkspaceRequired bool
 }
 
 // Level is a level of the tree: the number of names in a scope.
@@ -198,6 +200,7 @@
 	intKey("weight", "1", 0, 1<<20, LevelKind, "Part of the requests of a host and prefix that this kind gets, where several kinds name the same.", func(p *Policy) *int { return &p.Weight }),
 	textKey("health_path", "a path", LevelService, "Path at which a backend server tells its health.", func(p *Policy) *string { return &p.HealthPath }),
 	intKey("connections", "0", 0, 1<<20, LevelService, "Connections that a backend server takes; 0 leaves it to its announcement.", func(p *Policy) *int { return &p.Connections }),
+	boolKey("workspace_required", "false", LevelKind, "Whether a request must carry the key of a workspace; nested calls belong to the workspace of the request that makes them.", func(p *Policy) *bool { return &p.WorkspaceRequired }),
 	textKey("source", "any text", LevelKind, "Text from which an adapter made the entries of the scope, kept to be read back.", nil),
 	{"like", "", "a scope of the same level, for example \"kigali/sheets/open\"", LevelKind, "Scope whose own entries are inherited before those of the level above.", setLike},
 }
@@ -290,6 +293,9 @@
 // validateEntry checks one entry without regard to the rest of the document.
 func validateEntry(id, value string) *fault.Error {
 	scope, name, ok := strings.Cut(id, "#")
+	if ok && IsWorkspaceScope(scope) {
+		return validateWorkspaceEntry(scope, name, value)
+	}
 	if !ok || !validScope(scope) {
 		return fault.Newf(fault.InvalidSetting, "%q: an entry must be named fleet/service/kind#key, or shorter", id)
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -52,7 +52,7 @@
 		"unknown like scope": {"[fleet.a]\nlike = \"b\"", "an existing scope of the same level"},
 		"too deep":           {"[fleet.a.service.s.kind.x]\npolicy = \"off\"", "is not allowed at this level"},
 		"no such table":      {"[flet.a]\n", `unknown table "flet"`},
-		"key at the top":     {"deadline = \"5s\"", "allowed are the tables default and fleet"},
+		"key at the top":     {"deadline = \"5s\"", "allowed are the tables default, fleet and workspace"},
 		"bad name":           {"[fleet.\"a b\"]\n", "a name of letters"},
 		"broken TOML":        {"[fleet", "not valid TOML"},
 		"table in a kind":    {"[fleet.a.service.s.kind.x.deeper]\n", `unknown table "deeper"`},
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -11,6 +11,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/workspace"
 )
 
 // declarationKey is the key of an entry that declares a scope without setting
@@ -27,8 +28,9 @@
 	entriesByScope map[string][]setting
 	policies       map[string]*Policy
 	// order holds all scopes, each after the levels above it.
-	order  []string
-	routes routeTable
+	order      []string
+	routes     routeTable
+	workspaces *workspace.Table
 }
 
 // setting is one entry of a scope.
@@ -61,7 +63,9 @@
 		return nil, err
 	}
 	t.routes = t.buildRoutes()
-	return t, nil
+	var err error
+	t.workspaces, err = t.buildWorkspaces()
+	return t, err
 }
 
 // resolveAll computes the policies of all scopes. Policies that the touched
@@ -117,6 +121,9 @@
 	seen := map[string]bool{"": true}
 	for id := range e {
 		scope, _, _ := strings.Cut(id, "#")
+		if IsWorkspaceScope(scope) {
+			continue
+		}
 		for scope != "" && !seen[scope] {
 			seen[scope] = true
 			scope = parentScope(scope)
@@ -314,9 +321,26 @@
 		return nil, err
 	}
 	nt.routes = nt.buildRoutes()
+	nt.workspaces = t.workspaces
+	if touchesWorkspace(touched) {
+		var err error
+		if nt.workspaces, err = nt.buildWorkspaces(); err != nil {
+			return nil, err
+		}
+	}
 	return nt, nil
 }
 
+// touchesWorkspace reports whether any of the scopes is that of a workspace.
+func touchesWorkspace(touched map[string]bool) bool {
+	for scope := range touched {
+		if IsWorkspaceScope(scope) {
+			return true
+		}
+	}
+	return false
+}
+
 // scopeOf returns the scope of an entry's id.
 func scopeOf(id string) string {
 	scope, _, _ := strings.Cut(id, "#")
@@ -348,7 +372,7 @@
 	}
 	reorder := len(p.Remove) > 0
 	for scope := range touched {
-		reorder = reorder || old.policies[scope] == nil
+		reorder = reorder || old.policies[scope] == nil && !IsWorkspaceScope(scope)
 		if len(t.entriesByScope[scope]) == 0 {
 			delete(t.entriesByScope, scope)
 		}
@@ -375,7 +399,7 @@
 }
 
 // ParseTOML parses a document with the tables [default], [fleet.F],
-// [fleet.F.service.S] and [fleet.F.service.S.kind.K].
+// [fleet.F.service.S], [fleet.F.service.S.kind.K] and [workspace.W].
 func ParseTOML(data []byte) (*Tree, error) {
 	var raw map[string]any
 	if err := toml.NewDecoder(bytes.NewReader(data)).Decode(&raw); err != nil {
@@ -387,13 +411,15 @@
 		var err *fault.Error
 		switch {
 		case !ok:
-			err = fault.Newf(fault.InvalidSetting, "key %q at the top level; allowed are the tables default and fleet", name)
+			err = fault.Newf(fault.InvalidSetting, "key %q at the top level; allowed are the tables default, fleet and workspace", name)
 		case name == "default":
 			err = flattenTable(e, "", table, "")
 		case name == "fleet":
 			err = flattenChildren(e, "", table, LevelFleet)
+		case name == "workspace":
+			err = flattenWorkspaces(e, table)
 		default:
-			err = fault.Newf(fault.InvalidSetting, "unknown table %q; allowed are default and fleet", name)
+			err = fault.Newf(fault.InvalidSetting, "unknown table %q; allowed are default, fleet and workspace", name)
 		}
 		if err != nil {
 			return nil, err
@@ -402,6 +428,22 @@
 	return NewTree(e)
 }
 
+// flattenWorkspaces adds the settings of the workspaces in a table to e.
+func flattenWorkspaces(e Entries, table map[string]any) *fault.Error {
+	for _, name := range sortedKeys(table) {
+		sub, ok := table[name].(map[string]any)
+		if !ok {
+			return fault.Newf(fault.InvalidSetting, "workspace %q: must be a table", name)
+		}
+		scope := WorkspaceScope(name)
+		e[scope+"#"+declarationKey] = ""
+		if err := flattenTable(e, scope, sub, ""); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // childTableName holds, for each level, the name of the TOML table with the
 // scopes of the next level.
 var childTableName = map[Level]string{LevelFleet: "service", LevelService: "kind"}
