node, umberctl: keys and limits of workspaces on the way of a request

A key is checked at each request; the workspace's name travels to the backend server and to nested calls, the key does not. A node that may lack the current settings says 503, not 401 or 404. Requests beyond a limit get 429 with a Retry-After; what was admitted and not run is returned.

--- a/cmd/umberctl/main.go
+++ b/cmd/umberctl/main.go
@@ -47,6 +47,7 @@
 	c.addConfigCommands()
 	c.addInspectionCommands()
 	c.addOperationCommands()
+	c.addWorkspaceCommands()
 	return c
 }
 
@@ -136,6 +137,24 @@
 	c.actions[events.FullCommand()] = func(o ctl.Output) error { return ctl.PrintEvents(o, *c.nodes) }
 }
 
+// addWorkspaceCommands adds the commands for workspaces and their keys.
+func (c *cli) addWorkspaceCommands() {
+	ws := c.app.Command("workspace", "Manage workspaces; rate, burst and class are set with umberctl config set @NAME#rate=200.")
+	list := ws.Command("list", "Print the workspaces, the fingerprints of their keys, and their use against the limit.")
+	c.actions[list.FullCommand()] = func(o ctl.Output) error { return ctl.PrintWorkspaces(o, *c.nodes) }
+
+	add := ws.Command("add-key", "Make a new key of a workspace and print it, this once.")
+	addTo := add.Arg("name", "The workspace; it is made if it does not exist.").Required().String()
+	c.actions[add.FullCommand()] = func(o ctl.Output) error { return ctl.AddWorkspaceKey(o, c.firstNode(), *addTo) }
+
+	remove := ws.Command("remove-key", "Take a key away from a workspace.")
+	removeFrom := remove.Arg("name", "The workspace.").Required().String()
+	fingerprint := remove.Arg("fingerprint", "The key's fingerprint, as the list shows it.").Required().String()
+	c.actions[remove.FullCommand()] = func(o ctl.Output) error {
+		return ctl.RemoveWorkspaceKey(o, c.firstNode(), *removeFrom, *fingerprint)
+	}
+}
+
 // addOperationCommands adds the commands that drain nodes and manage replicas.
 func (c *cli) addOperationCommands() {
 	drain := c.app.Command("drain", "Send no new requests to the backend server beside a node.")
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -81,6 +81,10 @@
 	Rejected
 	// Quarantined means that requests like this one terminated several backend servers.
 	Quarantined
+	// Unauthenticated means that the request lacks the key of a workspace.
+	Unauthenticated
+	// QuotaExceeded means that the workspace has sent more than its limit allows.
+	QuotaExceeded
 	numCodes
 )
 
@@ -126,6 +130,8 @@
 	Internal:         {"internal", http.StatusInternalServerError, 1},
 	Rejected:         {"rejected", http.StatusServiceUnavailable, 10},
 	Quarantined:      {"quarantined", http.StatusServiceUnavailable, 16},
+	Unauthenticated:  {"unauthenticated", http.StatusUnauthorized, 17},
+	QuotaExceeded:    {"quota-exceeded", http.StatusTooManyRequests, 18},
 }
 
 // String returns the name of the code as used in refusals and metrics.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/gossip"
 	"github.com/umberthread/umberthread/quarantine"
+	"github.com/umberthread/umberthread/quota"
 	"github.com/umberthread/umberthread/raft"
 	"github.com/umberthread/umberthread/settings"
 )
@@ -145,6 +146,48 @@
 	Leader   string
 }
 
+// DemandRequest reports the demand for workspaces at a node to the ledger of its
+// failure domain. Demand has the requests per second, and Held the share that the node
+// has, of the workspace at the same index.
+type DemandRequest struct {
+	Node, Domain string
+	Workspaces   []string
+	Demand       []float64
+	Held         []quota.Share
+}
+
+// DemandReply returns the node's shares of the workspaces in the report. There are none if
+// the receiver does not hold the ledger.
+type DemandReply struct{ Shares []quota.Share }
+
+// AskRequest asks the ledger of a failure domain for tokens of a workspace.
+type AskRequest struct {
+	Domain, Workspace string
+	Tokens            int
+}
+
+// AskReply returns tokens, or how long to wait for one. IsLedger is false if the receiver
+// does not hold the ledger.
+type AskReply struct {
+	IsLedger bool
+	Tokens   int
+	Wait     time.Duration
+}
+
+// ClaimsRequest tells the ledger of another failure domain the claims of the sender's.
+type ClaimsRequest struct {
+	Domain string
+	Claims []quota.Claim
+}
+
+// ClaimsReply returns the claims of the responder's failure domain if its ledger is at
+// the responder, and the ledger's control address.
+type ClaimsReply struct {
+	Domain, Ledger string
+	IsLedger       bool
+	Claims         []quota.Claim
+}
+
 // IdentityReply identifies the node at an address.
 type IdentityReply struct {
 	ID     string
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -161,15 +161,16 @@
 	return settings.NewTree(entries)
 }
 
-// replaceFleets replaces all entries of the fleets that doc describes, and of the
-// default if it does.
+// replaceFleets replaces all entries of the fleets and workspaces that doc describes, and
+// of the default if it does. Keys of a workspace stay if doc has none for it: they are
+// made with add-key and stand in no file.
 func replaceFleets(entries, doc settings.Entries) {
 	described := map[string]bool{}
 	for id := range doc {
 		described[fleetOf(id)] = true
 	}
 	for id := range entries {
-		if described[fleetOf(id)] {
+		if described[fleetOf(id)] && !settings.IsWorkspaceKeys(id) {
 			delete(entries, id)
 		}
 	}
--- a/internal/ctl/reference.go
+++ b/internal/ctl/reference.go
@@ -22,6 +22,17 @@
 | --- | --- | --- | --- | --- |
 `
 
+const workspacesHead = `
+## Workspaces
+
+A workspace stands beside the tree, as the table ` + "`[workspace.NAME]`" + ` of a document and as
+the scope ` + "`@NAME`" + ` of a change: ` + "`umberctl config set @scouts#rate=200`" + `. See
+[design/workspaces.md](design/workspaces.md).
+
+| key | allowed | meaning |
+| --- | --- | --- |
+`
+
 // PrintSettingsReference prints the reference of all settings as Markdown, or
 // their definitions as JSON.
 func PrintSettingsReference(o Output) error {
@@ -36,5 +47,9 @@
 		}
 		o.printf("| `%s` | %s | %s | %s | %s |\n", k.Name, def, levelNames[k.DeepestLevel], strings.ReplaceAll(k.Allowed, "|", `\|`), k.Doc)
 	}
+	o.printf("%s", workspacesHead)
+	for _, k := range settings.WorkspaceSettings() {
+		o.printf("| `%s` | %s | %s |\n", k.Name, k.Allowed, k.Doc)
+	}
 	return nil
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/pprof"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -59,6 +60,7 @@
 	r.HandleFunc("/v1/config", n.serveChange).Methods(http.MethodPost)
 	r.HandleFunc("/v1/config/explain", n.serveExplain).Methods(http.MethodGet)
 	r.HandleFunc("/v1/config/history", n.serveHistory).Methods(http.MethodGet)
+	r.HandleFunc("/v1/workspaces", n.serveWorkspaces).Methods(http.MethodGet)
 	r.HandleFunc("/v1/replicas/form", n.serveForm).Methods(http.MethodPost)
 	r.HandleFunc("/v1/drain", n.serveDrain).Methods(http.MethodPost)
 	r.HandleFunc("/debug/vars", n.serveVars).Methods(http.MethodGet)
@@ -312,7 +314,7 @@
 func (n *Node) serveConfig(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get("current") != "true" {
 		c := n.conf.Load()
-		writeJSON(w, ConfigDocument{c.version, c.entries})
+		writeJSON(w, ConfigDocument{c.version, c.entries.Redacted()})
 		return
 	}
 	reply, ferr := n.readCurrentConfig(changeTimeout)
@@ -320,7 +322,7 @@
 		writeProblem(w, "", ferr)
 		return
 	}
-	writeJSON(w, ConfigDocument{reply.Version, reply.Entries})
+	writeJSON(w, ConfigDocument{reply.Version, reply.Entries.Redacted()})
 }
 
 // ChangeRequest is a proposed change of the settings.
@@ -399,7 +401,11 @@
 	if over := len(changes) - historyLength; over > 0 {
 		changes = changes[over:]
 	}
-	writeJSON(w, changes)
+	shown := slices.Clone(changes)
+	for i := range shown {
+		shown[i].Patch.Set = shown[i].Patch.Set.Redacted()
+	}
+	writeJSON(w, shown)
 }
 
 // serveForm forms the replica groups with this node's replica as their first member.
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -12,6 +12,7 @@
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/quarantine"
+	"github.com/umberthread/umberthread/quota"
 	"github.com/umberthread/umberthread/rank"
 	"github.com/umberthread/umberthread/retry"
 	"github.com/umberthread/umberthread/route"
@@ -29,6 +30,10 @@
 	service    string
 	// rank is the request's position in the shedding order.
 	rank rank.Rank
+	// workspace is the name of the workspace that the request belongs to, "" for none, and
+	// account the one that admitted it, nil for a nested call or a request of no workspace.
+	workspace string
+	account   *quota.Account
 	// depth is 0 for a request that a caller sent, and grows with each nested call.
 	depth uint8
 	// fromRetry is set if the call descends from an attempt that was itself a retry.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/umberthread/umberthread/confstore"
 	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/quota"
 	"github.com/umberthread/umberthread/settings"
 )
 
@@ -17,6 +18,8 @@
 	// entries is the whole document. It includes entries that only a newer release
 	// understands, which are passed on to other nodes but not used.
 	entries settings.Entries
+	// accounts are those of the workspaces, by workspace.Workspace.Index.
+	accounts []*quota.Account
 	// changes are the latest changes, oldest first, for nodes that are behind.
 	changes []confstore.Change
 }
@@ -109,6 +112,7 @@
 
 // activate makes a version active and announces it. confMu must be held.
 func (n *Node) activate(next *config) {
+	next.accounts = n.quotas.bind(next)
 	n.conf.Store(next)
 	n.updateGateOptions()
 	n.gossip.configChanged(next.version)
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -379,6 +379,7 @@
 	c := &call{
 		id: r.ID, rootTarget: r.Root, target: r.Target, rank: r.Rank, depth: r.Depth, fromRetry: r.MayHaveExecuted, scope: x.Scope,
 		method: r.Method, path: r.Path, header: r.Header, bodyLen: r.BodyLen, started: time.Now(),
+		workspace:    headerValue(r.Header, workspaceField),
 		fingerprints: quarantine.Fingerprints{Content: quarantine.Fingerprint(r.ContentFingerprint), Caller: quarantine.Fingerprint(r.CallerFingerprint)},
 	}
 	c.retryBudget = &budget.Pool{}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -19,7 +19,6 @@
 	"github.com/umberthread/umberthread/internal/callers"
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/wire"
-	"github.com/umberthread/umberthread/rank"
 )
 
 // callPrefix begins the path of every request: /call/fleet/service/kind/rest.
@@ -137,8 +136,12 @@
 		}
 		allowed = min(allowed, d)
 	}
+	w, ferr := n.identifyWorkspace(n.conf.Load(), c, &CallerRequest{Key: directKey(r.Header)})
+	if ferr != nil {
+		return ferr
+	}
 	c.rootTarget = c.target
-	c.rank = rank.ForRequest(c.policy.Class, c.id)
+	c.rank = w.Rank(c.policy.Class, c.id)
 	c.scope = scope.New(c.started.Add(allowed))
 	c.retryBudget = &budget.Pool{}
 	c.retryBudget.Reset(c.policy.RetryBudget)
@@ -165,6 +168,8 @@
 func (c *call) attachTo(parent *execution, allowed time.Duration) {
 	parentCall := parent.call
 	c.parent = parent
+	c.workspace = parentCall.workspace
+	c.header = appendWorkspace(c.header, c.workspace)
 	c.rootTarget = parentCall.rootTarget
 	c.rank = parentCall.rank
 	c.depth = parent.nestedCallDepth()
@@ -251,6 +256,10 @@
 		c.parent.nestedCallFailed.Store(true)
 	}
 	n.stats.countRefusal(e.Code)
+	if c.account != nil && e.Execution == fault.NotExecuted {
+		// What did not run does not count towards the limit.
+		c.account.Return(n.clock())
+	}
 	c.failureDetail = e.Detail
 	n.recordOutcome(c, e.Code, e.Execution)
 	if e.Code == fault.Canceled && c.callerLeft.Load() {
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -75,6 +75,8 @@
 	joined atomic.Bool
 	// highestVersion is the highest version of the settings known to exist.
 	highestVersion atomic.Uint64
+	// contactAt is when a message of another node last arrived, on the node's clock.
+	contactAt atomic.Int64
 	// mu guards syncScheduler, which selects the nodes to sync records with.
 	mu            sync.Mutex
 	syncScheduler *discovery.Scheduler
@@ -195,6 +197,9 @@
 	return ""
 }
 
+// lastContact returns when a message of another node last arrived, on the node's clock.
+func (g *gossiper) lastContact() time.Duration { return time.Duration(g.contactAt.Load()) }
+
 // raiseHighestVersion records a version of the settings if it is the highest known.
 func (g *gossiper) raiseHighestVersion(version uint64) {
 	for {
@@ -209,6 +214,7 @@
 // queues a fetch if it is newer than the active one. addr may be empty.
 func (g *gossiper) observeVersion(source versionSource, addr string, version uint64) {
 	g.raiseHighestVersion(version)
+	g.contactAt.Store(int64(g.node.clock()))
 	active := g.node.conf.Load().version
 	g.node.versions.observe(g.node.clock(), version, active, source, addr)
 	if addr != "" && version > active {
--- a/internal/node/headers.go
+++ b/internal/node/headers.go
@@ -26,6 +26,10 @@
 	HeaderExecution = "Umber-Run"
 	// HeaderReplayed marks a response taken from the stored outcome of an earlier execution.
 	HeaderReplayed = "Umber-Replayed"
+	// HeaderWorkspaceKey is the key of the caller's workspace. It is not passed on.
+	HeaderWorkspaceKey = "Umber-Workspace-Key"
+	// HeaderWorkspace is the name of the workspace, as the backend server gets it.
+	HeaderWorkspace = "Umber-Workspace"
 	// HeaderIdempotencyKey is the caller's idempotency key, a UUID of version 7.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
@@ -37,7 +41,7 @@
 	"Trailer": true, "Expect": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 	"Proxy-Authenticate": true, "Proxy-Authorization": true,
 	HeaderCallToken: true, HeaderRemaining: true, HeaderClass: true, HeaderRetryBudget: true, HeaderRequestID: true,
-	HeaderExecution: true, HeaderReplayed: true,
+	HeaderExecution: true, HeaderReplayed: true, HeaderWorkspaceKey: true, HeaderWorkspace: true,
 }
 
 // endToEndFields returns the fields of h to forward.
--- a/internal/node/http_adapter.go
+++ b/internal/node/http_adapter.go
@@ -10,7 +10,6 @@
 	"github.com/umberthread/umberthread/budget"
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/scope"
-	"github.com/umberthread/umberthread/rank"
 )
 
 // HTTPAdapter translates between the node and a platform with its own HTTP header fields and
@@ -40,6 +39,9 @@
 	Remaining time.Duration
 	// Caller is the identity of the caller, "" if unknown.
 	Caller string
+	// Key is the key of a workspace that the caller sent, "" for none, or for none that
+	// can be read.
+	Key string
 }
 
 // BackendRequest holds the properties of a request to a backend server.
@@ -50,6 +52,8 @@
 	Remaining time.Duration
 	// Instance is the identity of the intended backend server, "" if it did not announce one.
 	Instance string
+	// Workspace is the workspace that the request belongs to, "" for none.
+	Workspace string
 }
 
 // ResponseClass classifies a backend server's response.
@@ -80,7 +84,7 @@
 	}
 	route := conf.tree.MatchRoute(r.Host, r.URL.EscapedPath())
 	if route == nil {
-		return c, fault.New(fault.UnknownKind, "no route matches this host and path")
+		return c, n.unlessOutdated(conf, c, fault.New(fault.UnknownKind, "no route matches this host and path"))
 	}
 	target := route.SelectTarget()
 	c.target, c.rootTarget, c.policy = target.Scope, target.Scope, target.Policy
@@ -97,7 +101,11 @@
 	if n.stopping() && n.clock() > n.entryDeadline() {
 		return c, c.refusal(fault.Draining, "this node is stopping", 0)
 	}
-	c.rank = rank.ForRequest(c.policy.Class, c.id)
+	w, ferr := n.identifyWorkspace(conf, c, &callerReq)
+	if ferr != nil {
+		return c, ferr
+	}
+	c.rank = w.Rank(c.policy.Class, c.id)
 	c.scope = scope.New(c.started.Add(allowed))
 	c.retryBudget = &budget.Pool{}
 	c.retryBudget.Reset(c.policy.RetryBudget)
@@ -133,9 +141,12 @@
 	h := make(http.Header, len(c.header)+4)
 	host := be.client.Addr()
 	for _, f := range c.header {
-		if f.Name == originalHostField {
+		switch f.Name {
+		case originalHostField:
 			host = f.Value
 			continue
+		case workspaceField:
+			continue
 		}
 		h[f.Name] = append(h[f.Name], f.Value)
 	}
@@ -143,7 +154,7 @@
 		// An empty field prevents net/http from adding its own.
 		h["User-Agent"] = []string{""}
 	}
-	f := BackendRequest{ID: c.id, Remaining: c.scope.Remaining(), Instance: be.instance}
+	f := BackendRequest{ID: c.id, Remaining: c.scope.Remaining(), Instance: be.instance, Workspace: c.workspace}
 	n.opt.HTTPAdapter.SetRequestHeaders(h, f)
 	return &http.Request{Method: c.method, URL: opaqueURL(c.path), Host: host, Header: h, ContentLength: c.bodyLen}, f
 }
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -246,7 +246,12 @@
 	}
 	h := make(http.Header, len(c.header)+5)
 	for _, f := range c.header {
-		h[f.Name] = append(h[f.Name], f.Value)
+		if f.Name != workspaceField {
+			h[f.Name] = append(h[f.Name], f.Value)
+		}
+	}
+	if c.workspace != "" {
+		h[HeaderWorkspace] = []string{c.workspace}
 	}
 	h[HeaderRequestID] = []string{c.id}
 	h[HeaderCallToken] = []string{w.token}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,8 @@
 
 	gossip   *gossiper
 	replicas *replicas
+	quotas   *quotas
+	pauses   pauseDetector
 
 	httpSrv  *http.Server
 	adminSrv *http.Server
@@ -145,6 +147,7 @@
 	n.routes.Store(&route.Snapshot{})
 	n.view.Store(&membershipView{})
 	n.gossip = newGossiper(n)
+	n.quotas = newQuotas(n)
 	var err error
 	n.replicas, err = openReplicas(n)
 	return n, err
@@ -188,6 +191,7 @@
 	n.serveInBackground("control", func() error { return n.control.serve(lns.control) })
 	n.startTask("links", n.linkLoop)
 	n.startTask("upkeep", n.maintenanceLoop)
+	n.startTask("quotas", n.quotas.loop)
 	n.startTask("refresh", n.refreshPeersLoop)
 	n.startTask("find", n.probeLostPeersLoop)
 	n.replicas.start()
@@ -273,6 +277,7 @@
 // maintenanceLoop expires leases, tracks overloads and prunes the quarantine.
 func (n *Node) maintenanceLoop() {
 	n.runEvery(maintenanceInterval, func(now time.Time) {
+		n.pauses.tick(n.clock(), now)
 		n.expireLease(now)
 		n.trackOverload(now)
 		n.quarantine.rebuildStaleView()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -70,6 +70,15 @@
 	// Heartbeat is the interval at which a node confirms a request in flight to the
 	// node that sent it.
 	Heartbeat Duration `toml:"heartbeat"`
+	// FailureDomains is the number of failure domains of the fleet, if it is known before
+	// the node has heard of all of them.
+	FailureDomains int `toml:"failure_domains"`
+	// QuotaWindow, QuotaOvershoot and QuotaSlack state by how much the limit of a workspace
+	// may be exceeded: in any window by a fraction of what the limit allows, and a number of
+	// requests on top.
+	QuotaWindow    Duration `toml:"quota_window"`
+	QuotaOvershoot float64  `toml:"quota_overshoot"`
+	QuotaSlack     float64  `toml:"quota_slack"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `toml:"log_level"`
 
@@ -107,6 +116,7 @@
 		MinVoters:    1,
 		Sweep:        Duration{20 * time.Millisecond},
 		Heartbeat:    Duration{200 * time.Millisecond},
+		QuotaWindow:  Duration{5 * time.Second},
 		LogLevel:     "info",
 	}
 }
@@ -171,6 +181,9 @@
 	if o.MinVoters < 1 || o.MinVoters > o.Replicas {
 		return fault.Newf(fault.InvalidSetting, "min_voters = %d; allowed is 1 to replicas", o.MinVoters)
 	}
+	if o.FailureDomains < 0 || !(o.QuotaOvershoot >= 0 && o.QuotaOvershoot <= 1) || !(o.QuotaSlack >= 0) || o.QuotaWindow.Duration < 0 {
+		return fault.New(fault.InvalidSetting, "failure_domains, quota_window and quota_slack must be at least 0, and quota_overshoot a fraction from 0 to 1")
+	}
 	return o.checkDurations()
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -84,6 +84,8 @@
 	// CrashOn reports whether the execution of a request stops the server, by path
 	// and body; nil for none.
 	CrashOn func(path string, body []byte) bool
+	// OnHeader is called with the header of each request; nil for none.
+	OnHeader func(http.Header)
 }
 
 // Faults are the injected faults of a running server.
@@ -263,6 +265,9 @@
 	defer s.inFlight.Add(-1)
 	for p := s.peak.Load(); now > p && !s.peak.CompareAndSwap(p, now); p = s.peak.Load() {
 	}
+	if s.options.OnHeader != nil {
+		s.options.OnHeader(r.Header)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
