quota: a ledger starts afresh at its first use; equal parts while no domain has claims

Where all domains are heard and none has a claim, an equal part is safe.

workspace: equal classes leave all ranks to the kinds. On the shifted deployment all workspaces have one class; ranks were squeezed into a quarter of their range, and a hop weighed four times as much against a class as before.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -67,6 +67,7 @@
 	tolerance Tolerance
 	started   time.Duration
 	lastUse   time.Duration
+	used      bool
 	accounts  map[string]*ledgerAccount
 	// round numbers the claims made by Rebalance. heard is when each other domain last
 	// sent its claims, and confirmed the round of the last claims to which it replied.
@@ -123,18 +124,19 @@
 
 // touch starts afresh if the ledger was not in use.
 func (l *Ledger) touch(now time.Duration) {
-	if now-l.lastUse > idleAfter {
+	if !l.used || now-l.lastUse > idleAfter {
 		l.Reset(now)
 	}
-	l.lastUse = now
+	l.used, l.lastUse = true, now
 }
 
 // account returns the account of a workspace.
-func (l *Ledger) account(name string) *ledgerAccount {
+func (l *Ledger) account(now time.Duration, name string) *ledgerAccount {
 	a := l.accounts[name]
 	if a == nil {
-		a = &ledgerAccount{reports: map[string]report{}, peers: map[string]Claim{}, fraction: l.initialFraction(), claimed: l.initialFraction()}
-		// The nodes still hold the shares of the previous ledger, whose sum is not known
+		f := l.initialFraction(now)
+		a = &ledgerAccount{reports: map[string]report{}, peers: map[string]Claim{}, fraction: f, claimed: f}
+		// The nodes may still hold the shares of the previous ledger, whose sum is not known
 		// before they have reported.
 		a.pool.at = l.started + warmUp
 		l.accounts[name] = a
@@ -142,13 +144,21 @@
 	return a
 }
 
-// initialFraction is what a domain may use of a limit before it knows the claims of the
-// others: their shares can sum up to nearly the whole, so it is small.
-func (l *Ledger) initialFraction() float64 {
-	if l.domains == 1 {
-		return 1
+// initialFraction is what a domain may use of a limit before it knows of claims of the
+// others. If it hears all of them none has a claim, and its part is an equal one.
+// Otherwise their parts can sum up to nearly the whole.
+func (l *Ledger) initialFraction(now time.Duration) float64 {
+	equal := 1 / float64(l.domains)
+	hears := 0
+	for _, at := range l.heard {
+		if now-at <= domainSilentAfter {
+			hears++
+		}
 	}
-	return 1 / float64(initialDivisor*l.domains)
+	if hears >= l.domains-1 {
+		return equal
+	}
+	return equal / initialDivisor
 }
 
 // Report records the demand for a workspace at a node, and the share that the node holds.
@@ -156,7 +166,7 @@
 // the ledger has just started: the node keeps the share that it has.
 func (l *Ledger) Report(now time.Duration, node, workspace string, demand float64, held Share, limit Limit) (s Share, ok bool) {
 	l.touch(now)
-	a := l.account(workspace)
+	a := l.account(now, workspace)
 	l.refill(now, a, limit)
 	a.remove(node)
 	r := report{demand: demand, granted: held, at: now}
@@ -232,7 +242,7 @@
 	if limit.Unlimited() {
 		return want, 0
 	}
-	a := l.account(workspace)
+	a := l.account(now, workspace)
 	l.refill(now, a, limit)
 	if a.pool.tokens >= 1 {
 		// Half of the pool stays for the others that ask.
@@ -252,15 +262,22 @@
 		return
 	}
 	l.heard[domain] = now
+	equal := 1 / float64(l.domains)
 	said := make(map[string]bool, len(claims))
 	for _, c := range claims {
 		said[c.Workspace] = true
-		l.account(c.Workspace).peers[domain] = c
+		a := l.account(now, c.Workspace)
+		if len(a.peers) == 0 && len(a.reports) == 0 {
+			// Others have had the time to take more than equal parts.
+			a.fraction = min(a.fraction, equal/initialDivisor)
+			a.claimed = a.fraction
+		}
+		a.peers[domain] = c
 	}
 	for name, a := range l.accounts {
 		if c, known := a.peers[domain]; known && !said[name] {
 			// The domain has no demand and claims no more than an equal share.
-			a.peers[domain] = Claim{Workspace: name, Fraction: min(c.Fraction, 1/float64(l.domains))}
+			a.peers[domain] = Claim{Workspace: name, Fraction: min(c.Fraction, equal)}
 		}
 	}
 }
@@ -385,7 +402,7 @@
 	switch {
 	case unheard > 0 && now-l.started < domainLostAfter:
 		// A domain that is cut off may hold all but what this one had before.
-		target = min(target, max(a.granted.Rate, l.initialFraction()))
+		target = min(target, max(a.granted.Rate, equal/initialDivisor))
 	case unheard > 0 || lost:
 		target = min(target, equal)
 	case silent:
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -59,7 +59,7 @@
 
 // floorPart is the part of a limit that nodes may use without a ledger. Others may still
 // have shares of it.
-const floorPart = 0.5
+const floorPart = 0.25
 
 // Floor returns the fraction of a limit that a node may use without a ledger, as one of a
 // number of nodes in the fleet.
--- a/workspace/table.go
+++ b/workspace/table.go
@@ -80,14 +80,17 @@
 	// request kinds holds.
 	Class    rank.Class
 	HasClass bool
+	// decides is set if the workspaces of the table differ in class.
+	decides bool
 	// Limit bounds its requests over all nodes together; the zero value means no limit.
 	Limit quota.Limit
 }
 
 // Rank returns the rank of a request of the workspace. A class of the workspace goes
-// before the class of the request kind. A nil workspace has none.
+// before the class of the request kind, unless all workspaces have the same: then the
+// whole range of ranks is left to the kinds. A nil workspace has none.
 func (w *Workspace) Rank(kind rank.Class, requestID string) rank.Rank {
-	if w == nil || !w.HasClass {
+	if w == nil || !w.HasClass || !w.decides {
 		return rank.ForRequest(kind, requestID)
 	}
 	return rank.ForWorkspace(w.Class, kind, requestID)
@@ -115,9 +118,23 @@
 			t.byDigest[d] = w
 		}
 	}
+	decides := t.classesDiffer()
+	for _, w := range t.all {
+		w.decides = decides
+	}
 	return t, nil
 }
 
+// classesDiffer reports whether the class tells any two workspaces apart.
+func (t *Table) classesDiffer() bool {
+	for _, w := range t.all {
+		if w.HasClass != t.all[0].HasClass || w.Class != t.all[0].Class {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns the workspaces, sorted by name. The result must not be changed.
 func (t *Table) All() []*Workspace {
 	if t == nil {
--- a/workspace/table_test.go
+++ b/workspace/table_test.go
@@ -53,8 +53,10 @@
 
 func TestClassOfWorkspaceGoesBeforeThatOfTheKind(t *testing.T) {
 	g := NewWithT(t)
-	low := &Workspace{Class: rank.Normal, HasClass: true}
-	high := &Workspace{Class: rank.Important, HasClass: true}
+	low := &Workspace{Name: "low", Class: rank.Normal, HasClass: true}
+	high := &Workspace{Name: "high", Class: rank.Important, HasClass: true}
+	_, err := NewTable([]*Workspace{low, high})
+	g.Expect(err).NotTo(HaveOccurred())
 	var none *Workspace
 	for i := range 100 {
 		a, b := fmt.Sprint("a", i), fmt.Sprint("b", i)
@@ -66,6 +68,15 @@
 	}
 }
 
+func TestEqualClassesLeaveTheRanksToTheKinds(t *testing.T) {
+	g := NewWithT(t)
+	a := &Workspace{Name: "a", Class: rank.Important, HasClass: true}
+	b := &Workspace{Name: "b", Class: rank.Important, HasClass: true}
+	_, err := NewTable([]*Workspace{a, b})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(a.Rank(rank.Protected, "id")).To(Equal(rank.ForRequest(rank.Protected, "id")))
+}
+
 func BenchmarkByKey(b *testing.B) {
 	const count = 5000
 	all := make([]*Workspace, count)
