quota: a workspace that is saturated uses what its windows allow; small buckets ask the pool

The burst now goes into the rate in part once the demand has been above the rate for a window, and back when it falls.

--- a/quota/account.go
+++ b/quota/account.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 )
@@ -153,10 +154,16 @@
 		return
 	}
 	old := a.current(now)
-	a.share.Store(newBucket(a.limit, a.tolerance, s, expires))
+	b := newBucket(a.limit, a.tolerance, s, expires)
+	b.size = max(b.size, math.Ceil(a.demand.rate*prefetch.Seconds()))
+	a.share.Store(b)
 	a.carryTokens(now, old)
 }
 
+// prefetch is the time for which a node may hold tokens of the pool: the pool's burst is
+// divided anew in each such time.
+const prefetch = 200 * time.Millisecond
+
 // carryTokens keeps the number of tokens when the bucket changes: a larger one fills at
 // its rate, as tokens from nothing on every change would exceed the limit. Requests that
 // run at the same time may miss one token.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -42,6 +42,13 @@
 	poolSpare = 0.5
 	poolMin   = 0.05
 	poolBurst = 0.5
+	// burstToRate is the part of the burst that goes into the rate of a workspace that is
+	// saturated, and saturationEnds the part of the rate below which its demand must fall
+	// until it no longer is.
+	burstToRate    = 0.7
+	saturationEnds = 0.9
+	// minShareTokens is the least size of a bucket that is granted.
+	minShareTokens = 3
 	// maxWait bounds the time that a refused node is told to wait.
 	maxWait = 3 * time.Second
 )
@@ -87,8 +94,10 @@
 	// been told of, since round claimedIn: the domain raises its part after they replied.
 	fraction, claimed float64
 	claimedIn         uint64
-	peers             map[string]Claim
-	pool              pool
+	// saturatedSince is when the demand of all domains rose above the rate, 0 if it is below.
+	saturatedSince time.Duration
+	peers          map[string]Claim
+	pool           pool
 }
 
 // report is the demand at one node and the share that it was granted.
@@ -174,7 +183,7 @@
 	a.weights += weight(demand)
 	ok = now-l.started >= warmUp
 	if ok {
-		r.granted = a.shareFor(demand, limit, l.tolerance)
+		r.granted = a.shareFor(demand, limit, l.tolerance, l.boost(now, a, limit))
 	}
 	a.granted.add(r.granted, 1)
 	a.reports[node] = r
@@ -195,13 +204,13 @@
 
 // shareFor returns the share of a node with the given demand. The demand comes first.
 // What is left goes in part to the nodes, by the square root of their demand, as the
-// fluctuation of random arrivals does. A node whose bucket could not hold one token has no
-// share: it asks for each.
-func (a *ledgerAccount) shareFor(demand float64, limit Limit, t Tolerance) Share {
+// fluctuation of random arrivals does. A node whose bucket would hold only a few tokens has no
+// share, as much of it would be lost between two requests: it asks the pool.
+func (a *ledgerAccount) shareFor(demand float64, limit Limit, t Tolerance, b boost) Share {
 	if limit.Unlimited() {
 		return Share{}
 	}
-	rate := a.fraction * limit.Rate
+	rate := a.fraction * b.rate * limit.Rate
 	spare := rate - a.demand
 	var granted float64
 	if spare <= 0 {
@@ -210,26 +219,42 @@
 		granted = min((1-poolMin)*rate/a.demand, 1)*demand + (1-poolSpare)*spare*weight(demand)/a.weights
 	}
 	part := granted / rate
-	s := Share{Rate: a.fraction * part, Burst: a.fraction * part * (1 - poolBurst)}
-	if s.Burst*t.spread(limit) < 1 {
+	burst := a.fraction * part * (1 - poolBurst)
+	if burst*t.spread(limit) < minShareTokens {
 		return Share{}
 	}
-	return s
+	return Share{Rate: a.fraction * b.rate * part, Burst: b.burst * burst}
 }
 
 // weight returns the weight of a node in the division of what is left over.
 func weight(demand float64) float64 { return math.Sqrt(demand + nodeFloor) }
 
+// boost holds factors of a limit's rate and burst.
+type boost struct{ rate, burst float64 }
+
+// boost returns how a limit is divided between rate and burst. A workspace whose demand has
+// been above its rate for a whole window has spent its burst, and would be held to less than
+// the window allows. Most of the burst then goes into the rate.
+func (l *Ledger) boost(now time.Duration, a *ledgerAccount, limit Limit) boost {
+	window := l.tolerance.Window
+	if a.saturatedSince == 0 || now-a.saturatedSince < window || window <= 0 {
+		return boost{1, 1}
+	}
+	return boost{1 + burstToRate*limit.Burst/(limit.Rate*window.Seconds()), 1 - burstToRate}
+}
+
 // poolRate returns the rate of the pool in tokens per second.
-func (a *ledgerAccount) poolRate(limit Limit) float64 {
-	return max(poolMin*a.fraction, a.fraction-a.granted.Rate) * limit.Rate
+func (a *ledgerAccount) poolRate(limit Limit, b boost) float64 {
+	whole := a.fraction * b.rate
+	return max(poolMin*whole, whole-a.granted.Rate) * limit.Rate
 }
 
 // refill adds the tokens that have arrived in the pool.
 func (l *Ledger) refill(now time.Duration, a *ledgerAccount, limit Limit) {
-	size := max(0, a.fraction-a.granted.Burst)*l.tolerance.spread(limit) + l.tolerance.reserve(l.domains)
+	b := l.boost(now, a, limit)
+	size := max(0, a.fraction*b.burst-a.granted.Burst)*l.tolerance.spread(limit) + l.tolerance.reserve(l.domains)
 	if now > a.pool.at {
-		a.pool.tokens += (now - a.pool.at).Seconds() * a.poolRate(limit)
+		a.pool.tokens += (now - a.pool.at).Seconds() * a.poolRate(limit, b)
 		a.pool.at = now
 	}
 	a.pool.tokens = min(a.pool.tokens, max(1, size))
@@ -250,7 +275,7 @@
 		a.pool.tokens -= float64(tokens)
 		return tokens, 0
 	}
-	interval := time.Duration(float64(time.Second) / max(a.poolRate(limit), 1/maxWait.Seconds()))
+	interval := time.Duration(float64(time.Second) / max(a.poolRate(limit, l.boost(now, a, limit)), 1/maxWait.Seconds()))
 	a.pool.promised = min(max(a.pool.promised, now)+interval, now+maxWait)
 	return 0, a.pool.promised - now
 }
@@ -303,6 +328,7 @@
 			delete(l.accounts, name)
 			continue
 		}
+		l.trackSaturation(now, a, limit(name).Rate)
 		l.adjust(now, a, limit(name).Rate)
 	}
 	return l.Claims()
@@ -333,6 +359,20 @@
 	}
 }
 
+// trackSaturation records since when the demand of all domains is above the rate.
+func (l *Ledger) trackSaturation(now time.Duration, a *ledgerAccount, rate float64) {
+	total := a.demand
+	for _, c := range a.peers {
+		total += c.Demand
+	}
+	switch {
+	case total < saturationEnds*rate:
+		a.saturatedSince = 0
+	case total > rate && a.saturatedSince == 0:
+		a.saturatedSince = now
+	}
+}
+
 // adjust moves the domain's part of a limit towards its part of the demand. It lowers the
 // part at once. It raises it into what the other domains leave, once they know of it: two
 // domains cannot take the same part, as the reply of one tells the other what it claims.
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -47,14 +47,18 @@
 
 // Share is the part of a limit that one node may use without asking.
 type Share struct {
-	// Rate and Burst are fractions of the limit's rate and of its burst. A share without
+	// Rate and Burst are fractions of the limit's rate and of its burst; that of the rate can
+	// be above 1. A share without
 	// rate admits nothing by itself.
 	Rate, Burst float64
 }
 
-// Valid reports whether both fractions are between 0 and 1.
+// maxRateFraction bounds the fraction of a rate: part of the burst can go into it.
+const maxRateFraction = 16
+
+// Valid reports whether the fractions are in their range.
 func (s Share) Valid() bool {
-	return s.Rate >= 0 && s.Rate <= 1 && s.Burst >= 0 && s.Burst <= 1
+	return s.Rate >= 0 && s.Rate <= maxRateFraction && s.Burst >= 0 && s.Burst <= 1
 }
 
 // floorPart is the part of a limit that nodes may use without a ledger. Others may still
