node: keys expire without confirmation where that is strict; requests wait while a node that started finds instances

key_trust: the node with the ledger has a quorum confirm the settings, and reports carry when. Off unless the deployment is strict.

Up to 256 requests now wait for a sixth of their latency objective while the service is unknown. Test first: TestRequestWaitsWhileNodeFindsInstances got 503 before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -158,7 +158,13 @@
 
 // DemandReply returns the node's shares of the workspaces in the report. There are none if
 // the receiver does not hold the ledger.
-type DemandReply struct{ Shares []quota.Share }
+type DemandReply struct {
+	Shares []quota.Share
+	// ConfirmedAgo is how long ago a quorum of replicas confirmed the settings in force, if
+	// Confirmed is set.
+	Confirmed    bool
+	ConfirmedAgo time.Duration
+}
 
 // AskRequest asks the ledger of a failure domain for tokens of a workspace.
 type AskRequest struct {
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -279,22 +279,54 @@
 
 // pickInstance chooses the instance for an attempt. A nested call waits briefly if its service
 // has no instance, because failing it would waste the work of its parent. A request at the
-// entry is refused at once with a retry-after time.
+// entry waits only while this node has just started and does not know the instances yet; else
+// it is refused at once with a retry-after time.
 func (n *Node) pickInstance(c *call, q *route.Query) (*route.Instance, fault.Code) {
 	in, code := n.routes.Load().Pick(q, runtimeRand{})
-	if code != fault.NoBackend || c.depth == 0 || isLoadRefusal(c.lastFailure) {
+	if code != fault.NoBackend || isLoadRefusal(c.lastFailure) {
 		return in, code
 	}
+	if c.depth == 0 {
+		return n.awaitFirstInstance(c, q)
+	}
 	until := q.Now + min(maxReturnWait, c.scope.Remaining()/returnWaitDivisor)
-	for code == fault.NoBackend && n.clock() < until && c.scope.Err() == fault.None {
-		routes := n.routes.Load()
-		if !routes.MayReturn(c.service, n.clock(), maxReturnWait) {
-			break
-		}
+	return n.awaitInstance(c, q, until, func(routes *route.Snapshot) bool {
+		return routes.MayReturn(c.service, n.clock(), maxReturnWait)
+	})
+}
+
+const (
+	// maxStartupWaiters bounds the requests that wait while this node finds the instances.
+	maxStartupWaiters = 256
+	// startupWaitDivisor limits their wait to this fraction of the latency objective, so that
+	// one that is refused in the end can still be served in time elsewhere.
+	startupWaitDivisor = 6
+)
+
+// awaitFirstInstance waits for an instance of the call's service while this node has just
+// started, for a bounded number of calls.
+func (n *Node) awaitFirstInstance(c *call, q *route.Query) (*route.Instance, fault.Code) {
+	unknown := func(routes *route.Snapshot) bool { return n.gossip.recentlyStarted() && !routes.Knows(c.service) }
+	if !unknown(n.routes.Load()) {
+		return nil, fault.NoBackend
+	}
+	defer n.startupWaiters.Add(-1)
+	if n.startupWaiters.Add(1) > maxStartupWaiters {
+		return nil, fault.NoBackend
+	}
+	until := q.Now + min(c.policy.ObjectiveWithin/startupWaitDivisor, c.scope.Remaining()/startupWaitDivisor)
+	return n.awaitInstance(c, q, until, unknown)
+}
+
+// awaitInstance picks again and again until there is an instance, the time on the node's clock
+// is over, or one can no longer be expected.
+func (n *Node) awaitInstance(c *call, q *route.Query, until time.Duration, expected func(*route.Snapshot) bool) (in *route.Instance, code fault.Code) {
+	code = fault.NoBackend
+	for code == fault.NoBackend && n.clock() < until && c.scope.Err() == fault.None && expected(n.routes.Load()) {
 		time.Sleep(returnPollInterval)
 		// The avoided instance may have restarted meanwhile.
 		q.Now, q.Avoid = n.clock(), nil
-		in, code = routes.Pick(q, runtimeRand{})
+		in, code = n.routes.Load().Pick(q, runtimeRand{})
 	}
 	return in, code
 }
--- a/internal/node/http_adapter.go
+++ b/internal/node/http_adapter.go
@@ -84,7 +84,7 @@
 	}
 	route := conf.tree.MatchRoute(r.Host, r.URL.EscapedPath())
 	if route == nil {
-		return c, n.unlessOutdated(conf, c, fault.New(fault.UnknownKind, "no route matches this host and path"))
+		return c, n.unlessOutdated(conf, fault.New(fault.UnknownKind, "no route matches this host and path"))
 	}
 	target := route.SelectTarget()
 	c.target, c.rootTarget, c.policy = target.Scope, target.Scope, target.Policy
--- a/internal/node/instance_return_test.go
+++ b/internal/node/instance_return_test.go
@@ -43,6 +43,27 @@
 	g.Expect(r.status).To(gomega.Equal(200), r.body)
 }
 
+// Replays the requests that arrive at a node which has just started and has not heard of any
+// instance: they wait until it has, within a sixth of their latency objective.
+func TestRequestWaitsWhileNodeFindsInstances(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entry := startNode(t, "remera", nil, nil)
+	useSettings(t, chainSettings, entry)
+	done := make(chan httpResult, 1)
+	go func() { done <- entry.call("kigali/rosters/day", "early", nil, nil) }()
+	g.Eventually(entry.startupWaiters.Load, "2s", "1ms").Should(gomega.Equal(int64(1)))
+	second := startNode(t, "remera", []string{entry.opt.Control}, nil)
+	useSettings(t, chainSettings, second)
+	startStandin(t, second, "kigali/rosters", 16, map[string]standin.KindBehavior{"day": {MeanServiceTime: time.Millisecond}})
+	r := <-done
+	g.Expect(r.status).To(gomega.Equal(200), r.body)
+	g.Expect(entry.startupWaiters.Load()).To(gomega.Equal(int64(0)))
+	// A service that stays unknown is refused with time left to come back.
+	refused := entry.call("kigali/locations/find", "", nil, nil)
+	g.Expect(refused.problem().Reason).To(gomega.Equal("no-backend"))
+	g.Expect(refused.problem().RetryAfterMs).To(gomega.BeNumerically(">", 0))
+}
+
 // Guards against a stop that leaves a service without instances: the node keeps serving until
 // another instance is available.
 func TestStoppingNodeWaitsForAnotherInstance(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,8 @@
 	replicas *replicas
 	quotas   *quotas
 	pauses   pauseDetector
+	// startupWaiters counts the requests that wait while the node finds the instances.
+	startupWaiters atomic.Int64
 
 	httpSrv  *http.Server
 	adminSrv *http.Server
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -79,6 +79,10 @@
 	QuotaWindow    Duration `toml:"quota_window"`
 	QuotaOvershoot float64  `toml:"quota_overshoot"`
 	QuotaSlack     float64  `toml:"quota_slack"`
+	// KeyTrust is how long a node may judge keys of workspaces by settings that no quorum of
+	// replicas has confirmed since. Without that it refuses requests that need a key. 0 means
+	// that it goes on with the settings that it has.
+	KeyTrust Duration `toml:"key_trust"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `toml:"log_level"`
 
@@ -181,8 +185,8 @@
 	if o.MinVoters < 1 || o.MinVoters > o.Replicas {
 		return fault.Newf(fault.InvalidSetting, "min_voters = %d; allowed is 1 to replicas", o.MinVoters)
 	}
-	if o.FailureDomains < 0 || !(o.QuotaOvershoot >= 0 && o.QuotaOvershoot <= 1) || !(o.QuotaSlack >= 0) || o.QuotaWindow.Duration < 0 {
-		return fault.New(fault.InvalidSetting, "failure_domains, quota_window and quota_slack must be at least 0, and quota_overshoot a fraction from 0 to 1")
+	if o.FailureDomains < 0 || !(o.QuotaOvershoot >= 0 && o.QuotaOvershoot <= 1) || !(o.QuotaSlack >= 0) || o.QuotaWindow.Duration < 0 || o.KeyTrust.Duration < 0 {
+		return fault.New(fault.InvalidSetting, "failure_domains, quota_window, quota_slack and key_trust must be at least 0, and quota_overshoot a fraction from 0 to 1")
 	}
 	return o.checkDurations()
 }
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -34,6 +34,10 @@
 	ledgerLost atomic.Bool
 	// asking counts the requests that wait for the ledger.
 	asking atomic.Int64
+	// confirmedAt is when a quorum of replicas last confirmed the settings in force in this
+	// failure domain, on the node's clock. It is kept only if keys expire without that.
+	confirmedAt atomic.Int64
+	confirming  atomic.Bool
 
 	// mu guards everything below. Requests use only the accounts' atomic methods.
 	mu       sync.Mutex
@@ -204,11 +208,12 @@
 	sent := q.node.clock()
 	if ids[0] == q.node.id {
 		q.ledgerLost.Store(false)
+		q.confirmSettings()
 		q.grant(req, q.recordDemand(req), sent)
 		q.exchangeClaims()
 		return
 	}
-	if len(req.Workspaces) == 0 {
+	if len(req.Workspaces) == 0 && q.node.opt.KeyTrust.Duration == 0 {
 		return
 	}
 	var reply control.DemandReply
@@ -216,7 +221,45 @@
 	q.ledgerLost.Store(err != nil)
 	if err == nil {
 		q.grant(req, &reply, sent)
+		if reply.Confirmed {
+			q.recordConfirmation(sent - reply.ConfirmedAgo)
+		}
+	}
+}
+
+// recordConfirmation records when the settings were confirmed.
+func (q *quotas) recordConfirmation(at time.Duration) {
+	for {
+		old := q.confirmedAt.Load()
+		if int64(at) <= old || q.confirmedAt.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// confirmSettings has a quorum of replicas confirm the settings in force, for all nodes of
+// this failure domain, if keys expire without that. It does not wait.
+func (q *quotas) confirmSettings() {
+	if q.node.opt.KeyTrust.Duration == 0 || !q.confirming.CompareAndSwap(false, true) {
+		return
 	}
+	go func() {
+		defer q.confirming.Store(false)
+		sent := q.node.clock()
+		version := q.node.conf.Load().version
+		if reply, ferr := q.node.readCurrentConfig(confirmTimeout); ferr == nil && reply.Version == version {
+			q.recordConfirmation(sent)
+		}
+	}()
+}
+
+// confirmTimeout bounds one confirmation of the settings.
+const confirmTimeout = time.Second
+
+// keysTrusted reports whether keys may be judged by the settings in force.
+func (q *quotas) keysTrusted(now time.Duration) bool {
+	trust, at := q.node.opt.KeyTrust.Duration, time.Duration(q.confirmedAt.Load())
+	return trust == 0 || at > 0 && now-at < trust
 }
 
 // collectDemand returns the report of this node. It also adapts the floors.
@@ -343,6 +386,9 @@
 	n := a.node
 	if ids, _ := n.linkMembers(); req.Domain == n.opt.Domain && len(ids) > 0 && ids[0] == n.id {
 		*reply = *n.quotas.recordDemand(req)
+		if at := n.quotas.confirmedAt.Load(); at > 0 {
+			reply.Confirmed, reply.ConfirmedAgo = true, n.clock()-time.Duration(at)
+		}
 	}
 	return nil
 }
--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -36,6 +36,9 @@
 // request from the workspace's quota. The result is nil if the request needs no workspace and
 // names none.
 func (n *Node) identifyWorkspace(conf *config, c *call, r *CallerRequest) (*workspace.Workspace, *fault.Error) {
+	if c.policy.WorkspaceRequired && !n.quotas.keysTrusted(n.clock()) {
+		return nil, outdatedRefusal()
+	}
 	w := conf.tree.Workspaces().ByKey(r.Key)
 	if w == nil {
 		if !c.policy.WorkspaceRequired {
@@ -95,7 +98,7 @@
 	if r.Key == "" {
 		detail = "the request has no key of a workspace"
 	}
-	e := n.unlessOutdated(conf, c, fault.New(fault.Unauthenticated, detail))
+	e := n.unlessOutdated(conf, fault.New(fault.Unauthenticated, detail))
 	if n.requestLog.notable.allow(n.clock(), notableLinesPerSecond) {
 		n.info("workspace", "Refused a request without a known key.", "id", c.id, "kind", c.target, "outcome", e.Code.String(), "detail", detail, "config_version", conf.version)
 	}
@@ -104,10 +107,15 @@
 
 // unlessOutdated returns e, which follows from the settings in force, or a temporary refusal
 // if this node may lack newer settings that would allow the request.
-func (n *Node) unlessOutdated(conf *config, c *call, e *fault.Error) *fault.Error {
+func (n *Node) unlessOutdated(conf *config, e *fault.Error) *fault.Error {
 	if n.settingsCurrent(conf) {
 		return e
 	}
+	return outdatedRefusal()
+}
+
+// outdatedRefusal returns the error of a request that current settings may allow.
+func outdatedRefusal() *fault.Error {
 	refusal := fault.New(fault.Starting, "this node may lack the current settings")
 	refusal.RetryAfter = retry.RetryAfter(0, runtimeRand{}.Float64())
 	return refusal
--- a/internal/node/workspaces_test.go
+++ b/internal/node/workspaces_test.go
@@ -213,6 +213,36 @@
 	}
 }
 
+// Guards against keys that stay valid for ever at a node that is cut off from the replicas.
+func TestKeysExpireWithoutConfirmation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "nyarugenge", nil, func(o *Options) { o.KeyTrust = Duration{400 * time.Millisecond} })
+	useSettings(t, workspaceSettings(5), n)
+	call := func() int { return n.call("kigali/sheets/open", "", nil, withKey("unknown")).status }
+	g.Expect(call()).To(gomega.Equal(http.StatusServiceUnavailable), "no replica has confirmed the settings")
+	n.quotas.recordConfirmation(n.clock())
+	g.Expect(call()).To(gomega.Equal(http.StatusUnauthorized))
+	n.quotas.recordConfirmation(time.Second)
+	g.Eventually(call, "2s", "20ms").Should(gomega.Equal(http.StatusServiceUnavailable))
+}
+
+func TestSettingsAreConfirmedForTheDomain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	strict := func(o *Options) {
+		o.KeyTrust = Duration{2 * time.Second}
+		o.Replicas, o.Shards = 1, 0
+	}
+	first := startNode(t, "nyarugenge", nil, func(o *Options) {
+		strict(o)
+		o.DataFolder = t.TempDir()
+	})
+	g.Expect(first.replicas.formGroups()).To(gomega.Succeed())
+	second := startNode(t, "nyarugenge", []string{first.opt.Control}, strict)
+	for _, n := range []*testNode{first, second} {
+		g.Eventually(func() bool { return n.quotas.confirmedAt.Load() > 0 && n.quotas.keysTrusted(n.clock()) }, "10s", "20ms").Should(gomega.BeTrue())
+	}
+}
+
 func TestPauseIsNoticed(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var p pauseDetector
--- a/route/picker.go
+++ b/route/picker.go
@@ -69,6 +69,12 @@
 	return ok && now-since < within
 }
 
+// Knows reports whether a service has instances or is known to have lost them.
+func (s *Snapshot) Knows(service string) bool {
+	_, lost := s.UnavailableSince[service]
+	return lost || s.Services[service] != nil
+}
+
 // HasUsableInstance reports whether a service has a usable instance other than the one
 // with the ID except.
 func (s *Snapshot) HasUsableInstance(service, except string, now time.Duration) bool {
