--- a/admission/controller.go
+++ b/admission/controller.go
@@ -56,13 +56,13 @@
 	busyIntegral float64
 	busyUpdated  time.Duration
 
-	arrivalHist [rank.Count]float32
+	arrivalHist [rank.Total]float32
 	histTotal   float64
 }
 
 func (c *levelController) recordArrival(r rank.Rank) {
 	c.arrivals++
-	c.arrivalHist[r%rank.Count]++
+	c.arrivalHist[r%rank.Total]++
 	c.histTotal++
 }
 
@@ -134,16 +134,27 @@
 	cut := baseReduction + waitReduction*min(1, fill)
 	scale := float64(c.arrivals) / c.histTotal
 	excess := c.demandAboveLevel()*scale - float64(c.finished)*(1-cut)
-	for excess > 0 && int(c.level) < rank.Count-1 {
+	for top := c.highestRank(); excess > 0 && int(c.level) < top; {
 		excess -= float64(c.arrivalHist[c.level]) * scale
 		c.level++
 	}
 }
 
+// highestRank returns the highest rank that the level may shed up to: the highest of the kinds,
+// or of all where workspaces that go before them have requests.
+func (c *levelController) highestRank() int {
+	for _, recent := range c.arrivalHist[rank.Count:] {
+		if recent > 0 {
+			return rank.Total - 1
+		}
+	}
+	return rank.Count - 1
+}
+
 // demandAboveLevel returns the recent demand at or above the level.
 func (c *levelController) demandAboveLevel() float64 {
 	sum := 0.0
-	for r := int(c.level); r < rank.Count; r++ {
+	for r := int(c.level); r < rank.Total; r++ {
 		sum += float64(c.arrivalHist[r])
 	}
 	return sum
@@ -169,7 +180,7 @@
 // the level up.
 func (c *levelController) demandPerRank() float64 {
 	from := int(c.level)
-	to := min(from+baseLevelDrop, rank.Count)
+	to := min(from+baseLevelDrop, rank.Total)
 	sum := 0.0
 	for r := from; r < to; r++ {
 		sum += float64(c.arrivalHist[r])
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -50,7 +50,7 @@
 
 // outranks reports whether w may evict o from a full queue.
 func (w *Waiter) outranks(o *Waiter) bool {
-	wc, oc := w.Request.Rank.Class(), o.Request.Rank.Class()
+	wc, oc := w.Request.Rank.Tier(), o.Request.Rank.Tier()
 	if wc != oc {
 		return wc > oc
 	}
--- a/budget/throttle.go
+++ b/budget/throttle.go
@@ -43,7 +43,7 @@
 	mu       sync.Mutex
 	level    rank.Level
 	lastTick int64
-	demand   [rank.Count]float32
+	demand   [rank.Total]float32
 }
 
 // attemptSlice counts the attempts in one slice of a window.
@@ -68,7 +68,7 @@
 	defer t.mu.Unlock()
 	total, left := t.allowance(now, l)
 	t.adjustLevel(now, total, left, l)
-	t.demand[r%rank.Count]++
+	t.demand[r%rank.Total]++
 	if left < 1 || rank.Level(r) < t.level {
 		return false
 	}
@@ -169,7 +169,7 @@
 // exceed supply, at most maxLevelDrop below the current level.
 func (t *Throttle) lowestLevelFor(supply float64) rank.Level {
 	sum := 0.0
-	r := rank.Count
+	r := rank.Total
 	for r > 0 && sum+float64(t.demand[r-1]) <= supply {
 		r--
 		sum += float64(t.demand[r])
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -250,7 +250,7 @@
 		Options: route.Options{SpillAt: c.policy.SpillAt, EjectMax: c.policy.EjectMax, Ramp: c.policy.Ramp},
 	}
 	if c.policy.Mode != admission.ModeFull {
-		q.Rank = rank.Count - 1
+		q.Rank = rank.Total - 1
 	}
 	in, code := n.pickInstance(c, &q)
 	if code != fault.None {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -252,7 +252,7 @@
 	r.Path = d.string()
 	r.BodyLen = d.varint()
 	r.Header = d.fields()
-	if r.Rank >= rank.Count || r.BodyLen < Streamed || repeat > 1 {
+	if r.Rank >= rank.Total || r.BodyLen < Streamed || repeat > 1 {
 		d.failed = true
 	}
 	return d.err()
@@ -274,7 +274,7 @@
 	r.Detail = d.string()
 	r.BodyLen = d.varint()
 	r.Header = d.fields()
-	if int(r.Code) >= fault.CodeCount || r.Execution > fault.Executed || r.BodyLen < Streamed || r.Level > rank.Count || r.PathLevel > rank.Count {
+	if int(r.Code) >= fault.CodeCount || r.Execution > fault.Executed || r.BodyLen < Streamed || r.Level > rank.Total || r.PathLevel > rank.Total {
 		d.failed = true
 	}
 	return d.err()
--- a/rank/rank.go
+++ b/rank/rank.go
@@ -48,39 +48,66 @@
 // Cohorts is the number of cohorts within a class.
 const Cohorts = 1 << CohortBits
 
-// Count is the number of ranks.
+// Count is the number of ranks of request kinds.
 const Count = Classes * Cohorts
 
-// Rank is a position in the shedding order, 0 to Count-1; the lowest is shed first.
+const (
+	// workspaceRanks is the number of ranks of a class of workspaces that goes before the
+	// classes of the kinds, and kindRanks the part of each kind's class in it.
+	workspaceRanks = 64
+	kindRanks      = workspaceRanks / Classes
+	// Total is the number of all ranks.
+	Total = Count + (Classes-1)*workspaceRanks
+	// belowRanks is the number of ranks left to workspaces that go after all kinds.
+	belowRanks = (Classes - 1) * Classes
+)
+
+// Rank is a position in the shedding order, 0 to Total-1; the lowest is shed first.
+// Those from Count up belong to workspaces that go before the classes of the kinds.
 type Rank uint16
 
+// cohortOf returns the cohort of a request.
+func cohortOf(requestID string) uint8 {
+	return uint8(xxhash.Sum64String(requestID) >> (64 - CohortBits))
+}
+
 // ForRequest returns the rank of a request of class c with the given id.
-func ForRequest(c Class, requestID string) Rank {
-	cohort := xxhash.Sum64String(requestID) >> (64 - CohortBits)
-	return Make(c, uint8(cohort))
+func ForRequest(c Class, requestID string) Rank { return Make(c, cohortOf(requestID)) }
+
+// Above returns the rank of a request of a workspace that goes before the classes of the
+// kinds; group, from 1 to Classes-1, orders such workspaces. Within the group the class of
+// the kind decides, then the cohort.
+func Above(group int, kind Class, requestID string) Rank {
+	const cohortsPerRank = Cohorts / kindRanks
+	return Rank(Count + (group-1)*workspaceRanks + int(kind)*kindRanks + int(cohortOf(requestID))/cohortsPerRank)
 }
 
-// classBits is the number of bits of a class.
-const classBits = 2
+// Below returns the rank of a request of a workspace that goes after the classes of the
+// kinds; group, from 0 to Classes-2, orders such workspaces.
+func Below(group int, kind Class) Rank { return Rank(group*Classes + int(kind)) }
 
-// ForWorkspace returns the rank of a request of a workspace with a class of its own.
-// That class decides first, then the class of the request kind, then the cohort of
-// the id, so that one workspace's least urgent requests are still shed first.
-func ForWorkspace(workspace, kind Class, requestID string) Rank {
-	cohort := xxhash.Sum64String(requestID) >> (64 - CohortBits)
-	return Make(workspace, uint8(kind)<<(CohortBits-classBits)|uint8(cohort>>classBits))
-}
+// AtLeastKinds returns r, raised above the ranks of Below.
+func (r Rank) AtLeastKinds() Rank { return max(r, belowRanks) }
 
 // Make returns the rank of a class and a cohort.
 func Make(c Class, cohort uint8) Rank {
 	return Rank(c)<<CohortBits | Rank(cohort)
 }
 
-// Class returns the class of the rank.
-func (r Rank) Class() Class { return Class(r >> CohortBits) }
+// Class returns the class of the rank; ranks from Count up are of the highest.
+func (r Rank) Class() Class { return min(Class(r>>CohortBits), Protected) }
+
+// Tier returns the position of the rank's group of cohorts: that of its class, or one
+// beyond all classes.
+func (r Rank) Tier() int {
+	if r < Count {
+		return int(r >> CohortBits)
+	}
+	return Classes + int(r-Count)/workspaceRanks
+}
 
 // Level is an admission threshold: ranks below it are shed. Zero admits all ranks and
-// Count none.
+// Total none.
 type Level uint16
 
 // Admits reports whether rank r passes the level. depth counts the hops behind the
--- a/workspace/table.go
+++ b/workspace/table.go
@@ -80,20 +80,30 @@
 	// request kinds holds.
 	Class    rank.Class
 	HasClass bool
-	// decides is set if the workspaces of the table differ in class.
-	decides bool
+	// group is the position of its class against the most common one of the table: 0 for the
+	// same, above 0 for a higher one, below 0 for a lower one, by rank.Below's group from -1
+	// down. othersBelow is set if any workspace is below.
+	group       int
+	othersBelow bool
 	// Limit bounds its requests over all nodes together; the zero value means no limit.
 	Limit quota.Limit
 }
 
-// Rank returns the rank of a request of the workspace. A class of the workspace goes
-// before the class of the request kind, unless all workspaces have the same: then the
-// whole range of ranks is left to the kinds. A nil workspace has none.
+// Rank returns the rank of a request of the workspace. A class of the workspace goes before
+// the class of the request kind. Workspaces of the most common class share the ranks of the
+// kinds, which are fine; the others have ranks above or below these. A nil workspace has no
+// class.
 func (w *Workspace) Rank(kind rank.Class, requestID string) rank.Rank {
-	if w == nil || !w.HasClass || !w.decides {
+	switch {
+	case w == nil || w.group == 0 && !w.othersBelow:
 		return rank.ForRequest(kind, requestID)
+	case w.group == 0:
+		return rank.ForRequest(kind, requestID).AtLeastKinds()
+	case w.group > 0:
+		return rank.Above(w.group, kind, requestID)
+	default:
+		return rank.Below(-1-w.group, kind)
 	}
-	return rank.ForWorkspace(w.Class, kind, requestID)
 }
 
 // Table holds the workspaces of one version of the settings. It is immutable and safe
@@ -118,21 +128,43 @@
 			t.byDigest[d] = w
 		}
 	}
-	decides := t.classesDiffer()
-	for _, w := range t.all {
-		w.decides = decides
-	}
+	t.setGroups()
 	return t, nil
 }
 
-// classesDiffer reports whether the class tells any two workspaces apart.
-func (t *Table) classesDiffer() bool {
+// setGroups sets the group of each workspace. One without a class counts as of the most
+// common one.
+func (t *Table) setGroups() {
+	var counts [rank.Classes]int
+	for _, w := range t.all {
+		if w.HasClass {
+			counts[w.Class]++
+		}
+	}
+	common := 0
+	for c := range counts {
+		if counts[c] >= counts[common] {
+			common = c
+		}
+	}
+	var groups [rank.Classes]int
+	below, above := 0, 0
+	for c := range counts {
+		switch {
+		case c < common && counts[c] > 0:
+			below++
+			groups[c] = -below
+		case c > common && counts[c] > 0:
+			above++
+			groups[c] = above
+		}
+	}
 	for _, w := range t.all {
-		if w.HasClass != t.all[0].HasClass || w.Class != t.all[0].Class {
-			return true
+		w.othersBelow = below > 0
+		if w.HasClass {
+			w.group = groups[w.Class]
 		}
 	}
-	return false
 }
 
 // All returns the workspaces, sorted by name. The result must not be changed.
--- a/workspace/table_test.go
+++ b/workspace/table_test.go
@@ -53,18 +53,31 @@
 
 func TestClassOfWorkspaceGoesBeforeThatOfTheKind(t *testing.T) {
 	g := NewWithT(t)
-	low := &Workspace{Name: "low", Class: rank.Normal, HasClass: true}
-	high := &Workspace{Name: "high", Class: rank.Important, HasClass: true}
-	_, err := NewTable([]*Workspace{low, high})
+	classes := []rank.Class{rank.Background, rank.Normal, rank.Normal, rank.Normal, rank.Important, rank.Protected}
+	var all []*Workspace
+	for i, c := range classes {
+		all = append(all, &Workspace{Name: fmt.Sprint(i), Class: c, HasClass: true})
+	}
+	_, err := NewTable(all)
 	g.Expect(err).NotTo(HaveOccurred())
-	var none *Workspace
-	for i := range 100 {
+	for i := range 300 {
 		a, b := fmt.Sprint("a", i), fmt.Sprint("b", i)
-		g.Expect(high.Rank(rank.Background, a)).To(BeNumerically(">", low.Rank(rank.Protected, b)))
-		g.Expect(high.Rank(rank.Protected, a)).To(BeNumerically(">", high.Rank(rank.Important, b)))
-		g.Expect(none.Rank(rank.Protected, a)).To(Equal(rank.ForRequest(rank.Protected, a)))
-		g.Expect((&Workspace{}).Rank(rank.Protected, a)).To(Equal(rank.ForRequest(rank.Protected, a)))
-		g.Expect(high.Rank(rank.Protected, a).Class()).To(Equal(rank.Important))
+		for _, low := range all {
+			for _, high := range all {
+				if high.Class > low.Class {
+					g.Expect(high.Rank(rank.Background, a)).To(BeNumerically(">", low.Rank(rank.Protected, b)))
+				}
+				if high.Class == low.Class {
+					g.Expect(high.Rank(rank.Protected, a)).To(BeNumerically(">", low.Rank(rank.Important, b)))
+				}
+			}
+			g.Expect(low.Rank(rank.Protected, a)).To(BeNumerically("<", rank.Total))
+		}
+		// The most common class has the ranks of the kinds to itself.
+		g.Expect(all[1].Rank(rank.Protected, a)).To(Equal(rank.ForRequest(rank.Protected, a)))
+		g.Expect((*Workspace)(nil).Rank(rank.Protected, a)).To(Equal(rank.ForRequest(rank.Protected, a)))
+		g.Expect(all[5].Rank(rank.Background, a).Class()).To(Equal(rank.Protected))
+		g.Expect(all[5].Rank(rank.Background, a).Tier()).To(BeNumerically(">", all[4].Rank(rank.Protected, a).Tier()))
 	}
 }
 
@@ -72,9 +85,14 @@
 	g := NewWithT(t)
 	a := &Workspace{Name: "a", Class: rank.Important, HasClass: true}
 	b := &Workspace{Name: "b", Class: rank.Important, HasClass: true}
-	_, err := NewTable([]*Workspace{a, b})
+	none := &Workspace{Name: "none"}
+	_, err := NewTable([]*Workspace{a, b, none})
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(a.Rank(rank.Protected, "id")).To(Equal(rank.ForRequest(rank.Protected, "id")))
+	for i := range 300 {
+		id := fmt.Sprint(i)
+		g.Expect(a.Rank(rank.Background, id)).To(Equal(rank.ForRequest(rank.Background, id)))
+		g.Expect(none.Rank(rank.Background, id)).To(Equal(rank.ForRequest(rank.Background, id)))
+	}
 }
 
 func BenchmarkByKey(b *testing.B) {
