settings: workspaces have the scope workspace:NAME; umberload sends keys

The command line takes an argument that begins with @ for a file of arguments, so "umberctl config set @scouts#rate=20" could not work.

--- a/cmd/umberctl/main.go
+++ b/cmd/umberctl/main.go
@@ -139,7 +139,7 @@
 
 // addWorkspaceCommands adds the commands for workspaces and their keys.
 func (c *cli) addWorkspaceCommands() {
-	ws := c.app.Command("workspace", "Manage workspaces; rate, burst and class are set with umberctl config set @NAME#rate=200.")
+	ws := c.app.Command("workspace", "Manage workspaces; rate, burst and class are set with umberctl config set workspace:NAME#rate=200.")
 	list := ws.Command("list", "Print the workspaces, the fingerprints of their keys, and their use against the limit.")
 	c.actions[list.FullCommand()] = func(o ctl.Output) error { return ctl.PrintWorkspaces(o, *c.nodes) }
 
--- a/cmd/umberload/main.go
+++ b/cmd/umberload/main.go
@@ -24,9 +24,10 @@
 	pause := app.Flag("pause", "Time before a resend.").Default("100ms").Duration()
 	polite := app.Flag("polite", "Wait before a resend as long as the refusal's Retry-After says.").Bool()
 	keyed := app.Flag("keyed", "Give each request an Idempotency-Key.").Bool()
+	workspaceKeys := app.Flag("workspace-key", "Key of a workspace. Repeat for an even mix.").Envar("UMBERLOAD_WORKSPACE_KEYS").Strings()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
-	o := load.Options{Addrs: *entries, MaxResends: *resends, ResendDelay: *pause, HonorRetryAfter: *polite}
+	o := load.Options{Addrs: *entries, MaxResends: *resends, ResendDelay: *pause, HonorRetryAfter: *polite, WorkspaceKeys: *workspaceKeys}
 	for _, t := range *targets {
 		o.Kinds = append(o.Kinds, load.RequestKind{Target: t, ArrivalFraction: 1 / float64(len(*targets)), Deadline: *deadline, BodyBytes: *body, Keyed: *keyed})
 	}
--- a/internal/ctl/reference.go
+++ b/internal/ctl/reference.go
@@ -26,7 +26,7 @@
 ## Workspaces
 
 A workspace stands beside the tree, as the table ` + "`[workspace.NAME]`" + ` of a document and as
-the scope ` + "`@NAME`" + ` of a change: ` + "`umberctl config set @scouts#rate=200`" + `. See
+the scope ` + "`workspace:NAME`" + ` of a change: ` + "`umberctl config set workspace:scouts#rate=200`" + `. See
 [design/workspaces.md](design/workspaces.md).
 
 | key | allowed | meaning |
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -56,6 +56,8 @@
 	ResendDelay time.Duration
 	// DirectToServers sends to backend servers instead of nodes.
 	DirectToServers bool
+	// WorkspaceKeys are the keys that the requests carry, in random rotation; empty for none.
+	WorkspaceKeys []string
 	// HonorRetryAfter makes callers wait for the time in the Retry-After header.
 	HonorRetryAfter bool
 }
@@ -190,6 +192,9 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	if keys := r.options.WorkspaceKeys; len(keys) > 0 {
+		req.Header.Set("Umber-Workspace-Key", keys[rand.IntN(len(keys))])
+	}
 	resp, err := r.client.Do(req)
 	if err != nil {
 		out.Status, out.Reason = 0, "no-answer"
--- a/settings/workspaces.go
+++ b/settings/workspaces.go
@@ -11,9 +11,9 @@
 	"github.com/umberthread/umberthread/workspace"
 )
 
-// workspacePrefix begins the scope of a workspace, "@name". Workspaces stand beside the
+// workspacePrefix begins the scope of a workspace, "workspace:name". Workspaces stand beside the
 // tree of fleets: a workspace's limit holds over all of them.
-const workspacePrefix = "@"
+const workspacePrefix = "workspace:"
 
 // WorkspaceScope returns the scope of a workspace's entries.
 func WorkspaceScope(name string) string { return workspacePrefix + name }
@@ -99,7 +99,7 @@
 // which may be secret.
 func validateWorkspaceEntry(scope, name, value string) *fault.Error {
 	if !ValidName(strings.TrimPrefix(scope, workspacePrefix)) {
-		return fault.Newf(fault.InvalidSetting, "%q: a workspace is named @ and 1 to %d letters, digits, dots, dashes and underscores", scope, maxNameLen)
+		return fault.Newf(fault.InvalidSetting, "%q: a workspace is named workspace: and 1 to %d letters, digits, dots, dashes and underscores", scope, maxNameLen)
 	}
 	if name == declarationKey {
 		return nil
--- a/settings/workspaces_test.go
+++ b/settings/workspaces_test.go
@@ -48,13 +48,13 @@
 
 func TestPatchChangesWorkspaces(t *testing.T) {
 	g := NewWithT(t)
-	tree := mustTree(Entries{"@crew#keys": digestsOf("k1"), "kigali#deadline": "2s"})
-	next, err := tree.Apply(Patch{Set: Entries{"@scouts#keys": digestsOf("k2")}})
+	tree := mustTree(Entries{"workspace:crew#keys": digestsOf("k1"), "kigali#deadline": "2s"})
+	next, err := tree.Apply(Patch{Set: Entries{"workspace:scouts#keys": digestsOf("k2")}})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(next.Workspaces().ByKey("k2").Name).To(Equal("scouts"))
 	g.Expect(tree.Workspaces().ByKey("k2")).To(BeNil())
 	// A key may move to another workspace in one change.
-	moved, err := next.Apply(Patch{Set: Entries{"@scouts#keys": digestsOf("k1")}, Remove: []string{"@crew#keys"}})
+	moved, err := next.Apply(Patch{Set: Entries{"workspace:scouts#keys": digestsOf("k1")}, Remove: []string{"workspace:crew#keys"}})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(moved.Workspaces().ByKey("k1").Name).To(Equal("scouts"))
 	g.Expect(moved.Workspaces().ByKey("k2")).To(BeNil())
@@ -62,16 +62,16 @@
 
 func TestInvalidWorkspacesAreRefused(t *testing.T) {
 	for name, e := range map[string]Entries{
-		"shared key":         {"@a#keys": digestsOf("secret"), "@b#keys": digestsOf("secret")},
-		"plain key":          {"@a#keys": "secret"},
-		"negative rate":      {"@a#rate": "-1"},
-		"rate not a number":  {"@a#rate": "NaN"},
-		"burst without rate": {"@a#burst": "5"},
-		"unknown class":      {"@a#class": "secret"},
-		"unknown key":        {"@a#deadline": "1s"},
-		"name with slash":    {"@a/b#rate": "1"},
-		"no name":            {"@#rate": "1"},
-		"too large":          {"@a#source": strings.Repeat("secret", maxWorkspaceTextBytes)},
+		"shared key":         {"workspace:a#keys": digestsOf("secret"), "workspace:b#keys": digestsOf("secret")},
+		"plain key":          {"workspace:a#keys": "secret"},
+		"negative rate":      {"workspace:a#rate": "-1"},
+		"rate not a number":  {"workspace:a#rate": "NaN"},
+		"burst without rate": {"workspace:a#burst": "5"},
+		"unknown class":      {"workspace:a#class": "secret"},
+		"unknown key":        {"workspace:a#deadline": "1s"},
+		"name with slash":    {"workspace:a/b#rate": "1"},
+		"no name":            {"workspace:#rate": "1"},
+		"too large":          {"workspace:a#source": strings.Repeat("secret", maxWorkspaceTextBytes)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -88,14 +88,14 @@
 	for i := range 5000 {
 		keys = append(keys, fmt.Sprint("key-", i))
 	}
-	tree, err := NewTree(Entries{"@a#keys": digestsOf(keys...)})
+	tree, err := NewTree(Entries{"workspace:a#keys": digestsOf(keys...)})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(tree.Workspaces().ByKey("key-4999").Name).To(Equal("a"))
 }
 
 func TestRedactedHidesSourcesOfWorkspaces(t *testing.T) {
 	g := NewWithT(t)
-	e := Entries{"@a#source": "secret", "kigali#source": "shown"}
-	g.Expect(e.Redacted()).To(Equal(Entries{"@a#source": redacted, "kigali#source": "shown"}))
-	g.Expect(e["@a#source"]).To(Equal("secret"))
+	e := Entries{"workspace:a#source": "secret", "kigali#source": "shown"}
+	g.Expect(e.Redacted()).To(Equal(Entries{"workspace:a#source": redacted, "kigali#source": "shown"}))
+	g.Expect(e["workspace:a#source"]).To(Equal("secret"))
 }
