node: reports of demand stretch with the workspaces in use, and come early only for new demand

A report and its answer take 3.0 kB for 50 workspaces (TestReportOfDemandIsSmall), and each ask of the pool brought one after 50 ms: up to 60 kB/s, where a node has 13. Now every 20 ms for each workspace in use, 250 ms to 1 s, and early only where the ledger does not know the demand.

--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -17,6 +17,10 @@
 	minQuotaInterval = 50 * time.Millisecond
 	// quotaTimeout bounds one report or exchange of claims.
 	quotaTimeout = 300 * time.Millisecond
+	// reportTimePerWorkspace stretches the interval of a node with many workspaces in use, up
+	// to maxQuotaInterval: a report then costs about 3 kB a second.
+	reportTimePerWorkspace = 20 * time.Millisecond
+	maxQuotaInterval       = quota.ShareLifetime / 4
 	// minReportedDemand is the demand below which a workspace is not reported, in requests
 	// per second: about one request in the memory of the demand meter's last half minute.
 	minReportedDemand = 0.02
@@ -132,10 +136,12 @@
 		return reply.Wait, false
 	}
 	a.Deposit(now, min(reply.Tokens, want))
-	// The next report asks for a share, or a larger one.
-	select {
-	case q.wake <- struct{}{}:
-	default:
+	if _, granted := a.CurrentShare(now); !granted {
+		// The ledger does not know the demand of this node yet.
+		select {
+		case q.wake <- struct{}{}:
+		default:
+		}
 	}
 	return 0, true
 }
@@ -180,7 +186,7 @@
 
 // loop reports demand until the node stops.
 func (q *quotas) loop() {
-	t := time.NewTicker(quotaInterval)
+	t := time.NewTimer(quotaInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -190,18 +196,24 @@
 		case <-q.wake:
 			time.Sleep(minQuotaInterval)
 		}
-		q.round()
+		t.Reset(reportInterval(q.round()))
 	}
 }
 
+// reportInterval returns the time until the report after one with a number of workspaces.
+func reportInterval(workspaces int) time.Duration {
+	return min(max(quotaInterval, time.Duration(workspaces)*reportTimePerWorkspace), maxQuotaInterval)
+}
+
 // ledgerNode is the node that holds the ledger of this failure domain.
 type ledgerNode struct{ id, addr string }
 
-// round reports this node's demand to the ledger, and balances the ledger if it is here.
-func (q *quotas) round() {
+// round reports this node's demand to the ledger, and balances the ledger if it is here. It
+// returns the number of workspaces that weigh on the next interval: none where the ledger is.
+func (q *quotas) round() (workspaces int) {
 	ids, addrs := q.node.linkMembers()
 	if len(ids) == 0 {
-		return
+		return 0
 	}
 	q.ledgerAt.Store(&ledgerNode{ids[0], addrs[0]})
 	req := q.collectDemand()
@@ -211,10 +223,10 @@
 		q.confirmSettings()
 		q.grant(req, q.recordDemand(req), sent)
 		q.exchangeClaims()
-		return
+		return 0
 	}
 	if len(req.Workspaces) == 0 && q.node.opt.KeyTrust.Duration == 0 {
-		return
+		return 0
 	}
 	var reply control.DemandReply
 	err := q.node.control.pool.Call(addrs[0], "Demand", req, &reply, quotaTimeout)
@@ -225,6 +237,7 @@
 			q.recordConfirmation(sent - reply.ConfirmedAgo)
 		}
 	}
+	return len(req.Workspaces)
 }
 
 // recordConfirmation records when the settings were confirmed.
--- a/internal/node/workspaces_test.go
+++ b/internal/node/workspaces_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/standin"
+	"github.com/umberthread/umberthread/quota"
 	"github.com/umberthread/umberthread/workspace"
 )
 
@@ -243,6 +244,15 @@
 	}
 }
 
+func TestReportsStretchWithTheWorkspacesInUse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(reportInterval(0)).To(gomega.Equal(quotaInterval))
+	g.Expect(reportInterval(10)).To(gomega.Equal(quotaInterval))
+	g.Expect(reportInterval(40)).To(gomega.Equal(800 * time.Millisecond))
+	g.Expect(reportInterval(5000)).To(gomega.Equal(maxQuotaInterval))
+	g.Expect(4*maxQuotaInterval).To(gomega.BeNumerically("<=", quota.ShareLifetime), "a share outlives three lost reports")
+}
+
 func TestPauseIsNoticed(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var p pauseDetector
