--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -12,8 +12,8 @@
 const (
 	// quotaInterval is the time between two reports of demand to the domain's ledger.
 	quotaInterval = 250 * time.Millisecond
-	// minQuotaInterval is the shortest time between two reports of a node whose shares did not
-	// suffice.
+	// minQuotaInterval is the shortest time until a report of demand that the ledger does not
+	// know.
 	minQuotaInterval = 50 * time.Millisecond
 	// quotaTimeout bounds one report or exchange of claims.
 	quotaTimeout = 300 * time.Millisecond
@@ -22,7 +22,7 @@
 	reportTimePerWorkspace = 20 * time.Millisecond
 	maxQuotaInterval       = quota.ShareLifetime / 4
 	// minReportedDemand is the demand below which a workspace is not reported, in requests
-	// per second: about one request in the memory of the demand meter's last half minute.
+	// per second: its requests ask the pool.
 	minReportedDemand = 0.02
 )
 
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -343,6 +343,15 @@
 	}
 }
 
+func TestInvalidClaimsAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLedger("a", 2, Tolerance{})
+	for _, c := range []Claim{{"w", math.NaN(), 0.5}, {"w", math.Inf(1), 0.5}, {"w", -1, 0.5}, {"w", 1, 1.5}, {"w", 1, math.NaN()}} {
+		l.Merge(time.Second, "b", []Claim{c})
+	}
+	g.Expect(l.Claims()).To(BeEmpty())
+}
+
 func TestSharesFollowAfterHeal(t *testing.T) {
 	g := NewWithT(t)
 	f := newSimFleet(3, 4, 10, Limit{400, 400})
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -2,8 +2,6 @@
 
 import (
 	"math"
-	"slices"
-	"strings"
 	"time"
 )
 
@@ -20,49 +18,18 @@
 	// idleAfter is how long a ledger may be unused until it starts afresh, as another
 	// node has had its role.
 	idleAfter = 1500 * time.Millisecond
-	// domainSilentAfter is how long another domain may be silent, several exchanges, until
-	// this one no longer waits for its reply.
-	domainSilentAfter = 1200 * time.Millisecond
-	// domainLostAfter is how long another domain keeps its share without being heard.
-	domainLostAfter = 20 * time.Second
-	// fallBackAfter is earlier than domainLostAfter, so that a domain that is cut off
-	// gives up what it has beyond an equal share before the others take that over.
-	fallBackAfter = 15 * time.Second
-	// nodeFloor and domainFloor are demands, in requests per second, that are added
-	// to those reported, so that each reporting node and each domain has a share.
-	nodeFloor   = 0.1
-	domainFloor = 0.2
-
-	// initialDivisor divides the equal share of a domain until the others were heard.
-	initialDivisor = 4
-
-	// poolSpare is the part of the rate beyond the demand that stays with the ledger,
-	// for nodes that ask, poolMin the least part of the whole rate, and poolBurst the part
-	// of the burst.
-	poolSpare = 0.5
-	poolMin   = 0.05
-	poolBurst = 0.5
+	// nodeFloor is a demand, in requests per second, that is added to each report in the
+	// division of what is left over.
+	nodeFloor = 0.1
+	// minShareTokens is the least size of a bucket that is granted.
+	minShareTokens = 3
 	// burstToRate is the part of the burst that goes into the rate of a workspace that is
 	// saturated, and saturationEnds the part of the rate below which its demand must fall
 	// until it no longer is.
 	burstToRate    = 0.7
 	saturationEnds = 0.9
-	// minShareTokens is the least size of a bucket that is granted.
-	minShareTokens = 3
-	// maxWait bounds the time that a refused node is told to wait.
-	maxWait = 3 * time.Second
 )
 
-// Claim is what the ledger of one failure domain tells the others of a workspace.
-type Claim struct {
-	Workspace string
-	// Demand is in requests per second.
-	Demand float64
-	// Fraction is the most that the domain uses of the workspace's limit until its next
-	// claim.
-	Fraction float64
-}
-
 // Ledger divides the limits of workspaces among the nodes of a failure domain, and with
 // the ledgers of other domains among the domains. What it does not grant as shares it
 // keeps in a pool for nodes that ask for single tokens. It is not safe for concurrent
@@ -107,14 +74,6 @@
 	at      time.Duration
 }
 
-// pool is the token bucket of a ledger.
-type pool struct {
-	tokens float64
-	at     time.Duration
-	// promised is when the next token is free for a node that was told to wait.
-	promised time.Duration
-}
-
 // NewLedger returns a ledger of a failure domain, one of the given number of domains.
 func NewLedger(domain string, domains int, t Tolerance) *Ledger {
 	l := &Ledger{domain: domain, domains: max(1, domains), tolerance: t}
@@ -153,23 +112,6 @@
 	return a
 }
 
-// initialFraction is what a domain may use of a limit before it knows of claims of the
-// others. If it hears all of them none has a claim, and its part is an equal one.
-// Otherwise their parts can sum up to nearly the whole.
-func (l *Ledger) initialFraction(now time.Duration) float64 {
-	equal := 1 / float64(l.domains)
-	hears := 0
-	for _, at := range l.heard {
-		if now-at <= domainSilentAfter {
-			hears++
-		}
-	}
-	if hears >= l.domains-1 {
-		return equal
-	}
-	return equal / initialDivisor
-}
-
 // Report records the demand for a workspace at a node, and the share that the node holds.
 // It returns the share of the workspace's limit that the node may use. It is false while
 // the ledger has just started: the node keeps the share that it has.
@@ -243,79 +185,6 @@
 	return boost{1 + burstToRate*limit.Burst/(limit.Rate*window.Seconds()), 1 - burstToRate}
 }
 
-// poolRate returns the rate of the pool in tokens per second.
-func (a *ledgerAccount) poolRate(limit Limit, b boost) float64 {
-	whole := a.fraction * b.rate
-	return max(poolMin*whole, whole-a.granted.Rate) * limit.Rate
-}
-
-// refill adds the tokens that have arrived in the pool.
-func (l *Ledger) refill(now time.Duration, a *ledgerAccount, limit Limit) {
-	b := l.boost(now, a, limit)
-	size := max(0, a.fraction*b.burst-a.granted.Burst)*l.tolerance.spread(limit) + l.tolerance.reserve(l.domains)
-	if now > a.pool.at {
-		a.pool.tokens += (now - a.pool.at).Seconds() * a.poolRate(limit, b)
-		a.pool.at = now
-	}
-	a.pool.tokens = min(a.pool.tokens, max(1, size))
-}
-
-// Ask takes up to want tokens from the pool, at least 1 if there is any. If there is none,
-// it returns how long to wait until the next one is free for this node.
-func (l *Ledger) Ask(now time.Duration, workspace string, want int, limit Limit) (tokens int, wait time.Duration) {
-	l.touch(now)
-	if limit.Unlimited() {
-		return want, 0
-	}
-	a := l.account(now, workspace)
-	l.refill(now, a, limit)
-	if a.pool.tokens >= 1 {
-		// Half of the pool stays for the others that ask.
-		tokens = min(want, max(1, int(a.pool.tokens/2)))
-		a.pool.tokens -= float64(tokens)
-		return tokens, 0
-	}
-	interval := time.Duration(float64(time.Second) / max(a.poolRate(limit, l.boost(now, a, limit)), 1/maxWait.Seconds()))
-	a.pool.promised = min(max(a.pool.promised, now)+interval, now+maxWait)
-	return 0, a.pool.promised - now
-}
-
-// Merge records the claims of another failure domain.
-func (l *Ledger) Merge(now time.Duration, domain string, claims []Claim) {
-	l.touch(now)
-	if domain == l.domain {
-		return
-	}
-	l.heard[domain] = now
-	equal := 1 / float64(l.domains)
-	said := make(map[string]bool, len(claims))
-	for _, c := range claims {
-		said[c.Workspace] = true
-		a := l.account(now, c.Workspace)
-		if len(a.peers) == 0 && len(a.reports) == 0 {
-			// Others have had the time to take more than equal parts.
-			a.fraction = min(a.fraction, equal/initialDivisor)
-			a.claimed = a.fraction
-		}
-		a.peers[domain] = c
-	}
-	for name, a := range l.accounts {
-		if c, known := a.peers[domain]; known && !said[name] {
-			// The domain has no demand and claims no more than an equal share.
-			a.peers[domain] = Claim{Workspace: name, Fraction: min(c.Fraction, equal)}
-		}
-	}
-}
-
-// Confirm records that another domain has replied, with the claims that Merge got, to the
-// claims of a round.
-func (l *Ledger) Confirm(domain string, round uint64) {
-	l.confirmed[domain] = max(l.confirmed[domain], round)
-}
-
-// Round returns the number of the last claims made by Rebalance.
-func (l *Ledger) Round() uint64 { return l.round }
-
 // Rebalance forgets old reports and moves this domain's fractions towards its part of
 // the demand. It returns the claims for the other domains. limit returns the limit of a
 // workspace.
@@ -334,16 +203,6 @@
 	return l.Claims()
 }
 
-// Claims returns the claims for the other domains, sorted by workspace.
-func (l *Ledger) Claims() []Claim {
-	claims := make([]Claim, 0, len(l.accounts))
-	for name, a := range l.accounts {
-		claims = append(claims, Claim{name, a.demand, a.claimed})
-	}
-	slices.SortFunc(claims, func(x, y Claim) int { return strings.Compare(x.Workspace, y.Workspace) })
-	return claims
-}
-
 // expireReports forgets the nodes that have stopped reporting, and sums up anew, which
 // keeps rounding errors from growing.
 func (a *ledgerAccount) expireReports(now time.Duration) {
@@ -372,84 +231,3 @@
 		a.saturatedSince = now
 	}
 }
-
-// adjust moves the domain's part of a limit towards its part of the demand. It lowers the
-// part at once. It raises it into what the other domains leave, once they know of it: two
-// domains cannot take the same part, as the reply of one tells the other what it claims.
-func (l *Ledger) adjust(now time.Duration, a *ledgerAccount, rate float64) {
-	if l.domains == 1 {
-		a.fraction, a.claimed = 1, 1
-		return
-	}
-	target, room := l.target(now, a, rate)
-	if target <= a.fraction {
-		a.fraction, a.claimed = target, target
-		return
-	}
-	if l.confirmedSince(now, a.claimedIn) {
-		a.fraction = max(a.fraction, min(a.claimed, target, room))
-	}
-	claim := max(a.fraction, min(target, room))
-	if claim > a.claimed {
-		a.claimedIn = l.round
-	}
-	a.claimed = claim
-}
-
-// confirmedSince reports whether all domains that are heard have replied to the claims of a
-// round or a later one.
-func (l *Ledger) confirmedSince(now time.Duration, round uint64) bool {
-	for domain, at := range l.heard {
-		if now-at <= domainSilentAfter && l.confirmed[domain] < round {
-			return false
-		}
-	}
-	return true
-}
-
-// target returns the part of a limit that the domain's part of the demand amounts to, and
-// the part that the other domains leave.
-func (l *Ledger) target(now time.Duration, a *ledgerAccount, rate float64) (target, room float64) {
-	equal := 1 / float64(l.domains)
-	total, weights, reserved, unheard := a.demand, domainWeight(a.demand), 0.0, l.domains-1
-	silent, lost := false, false
-	for domain, at := range l.heard {
-		unheard--
-		c, known := a.peers[domain]
-		age := now - at
-		silent, lost = silent || age > domainSilentAfter, lost || age > fallBackAfter
-		switch {
-		case !known || age > domainLostAfter:
-			c.Fraction = equal
-		case age > domainSilentAfter:
-			// It may have raised its part to an equal one since.
-			c.Fraction = max(c.Fraction, equal)
-		}
-		total += c.Demand
-		weights += domainWeight(c.Demand)
-		reserved += c.Fraction
-	}
-	unheard = max(0, unheard)
-	reserved += equal * float64(unheard)
-	weights += domainWeight(0) * float64(unheard)
-	target = domainWeight(a.demand) / weights
-	switch {
-	case total >= rate:
-		target = (a.demand + domainFloor) / (total + domainFloor*float64(l.domains))
-	case rate > 0:
-		target = (a.demand + (rate-total)*target) / rate
-	}
-	switch {
-	case unheard > 0 && now-l.started < domainLostAfter:
-		// A domain that is cut off may hold all but what this one had before.
-		target = min(target, max(a.granted.Rate, equal/initialDivisor))
-	case unheard > 0 || lost:
-		target = min(target, equal)
-	case silent:
-		target = min(target, max(a.fraction, equal))
-	}
-	return target, 1 - reserved
-}
-
-// domainWeight returns the weight of a domain in the division of what is left over.
-func domainWeight(demand float64) float64 { return math.Sqrt(demand + domainFloor) }
