node: ledgers are silent while no workspace has a limit

They exchanged empty claims four times a second between all failure domains on deployments without workspaces: bytes between domains and processor time for nothing.

--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -208,9 +209,23 @@
 // ledgerNode is the node that holds the ledger of this failure domain.
 type ledgerNode struct{ id, addr string }
 
+// inUse reports whether any workspace has a limit, or keys expire without confirmation. The
+// ledgers are silent otherwise.
+func (q *quotas) inUse() bool {
+	if q.node.opt.KeyTrust.Duration > 0 {
+		return true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.ContainsFunc(q.inForce, func(a *quota.Account) bool { return !a.Unlimited() })
+}
+
 // round reports this node's demand to the ledger, and balances the ledger if it is here. It
 // returns the number of workspaces that weigh on the next interval: none where the ledger is.
 func (q *quotas) round() (workspaces int) {
+	if !q.inUse() {
+		return 0
+	}
 	ids, addrs := q.node.linkMembers()
 	if len(ids) == 0 {
 		return 0
--- a/internal/node/workspaces_test.go
+++ b/internal/node/workspaces_test.go
@@ -253,6 +253,16 @@
 	g.Expect(4*maxQuotaInterval).To(gomega.BeNumerically("<=", quota.ShareLifetime), "a share outlives three lost reports")
 }
 
+func TestLedgersAreSilentWithoutLimits(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "nyarugenge", nil, nil)
+	g.Expect(n.quotas.inUse()).To(gomega.BeFalse())
+	useSettings(t, chainSettings+"[workspace.crew]\n", n)
+	g.Expect(n.quotas.inUse()).To(gomega.BeFalse())
+	useSettings(t, workspaceSettings(5), n)
+	g.Expect(n.quotas.inUse()).To(gomega.BeTrue())
+}
+
 func TestPauseIsNoticed(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var p pauseDetector
