platform: the field of a key is dropped only where there are workspaces

Elsewhere an Authorization field belongs to the application and is passed on as before; it was dropped everywhere since keys are read.

--- a/internal/node/http_adapter.go
+++ b/internal/node/http_adapter.go
@@ -42,6 +42,9 @@
 	// Key is the key of a workspace that the caller sent, "" for none, or for none that
 	// can be read.
 	Key string
+	// KeyField is the name of the header field of the key, "" for none. It is not passed on
+	// where there are workspaces; elsewhere it is the application's.
+	KeyField string
 }
 
 // BackendRequest holds the properties of a request to a backend server.
@@ -93,6 +96,9 @@
 	if callerReq.Remaining > 0 {
 		allowed = min(allowed, callerReq.Remaining)
 	}
+	if len(conf.tree.Workspaces().All()) > 0 || c.policy.WorkspaceRequired {
+		delete(r.Header, callerReq.KeyField)
+	}
 	c.header = append(endToEndFields(r.Header), wireField{Name: originalHostField, Value: r.Host})
 	if parent := n.executionOf(callerReq.Parent); parent != nil {
 		c.attachTo(parent, allowed)
