--- a/internal/ctl/workspaces.go
+++ b/internal/ctl/workspaces.go
@@ -17,7 +17,7 @@
 // WorkspaceUse is a workspace with its use over all nodes that answer.
 type WorkspaceUse struct {
 	node.WorkspaceStatus
-	// Granted is the number of nodes with a share from a ledger.
+	// GrantedNodes is the number of nodes with a share from a ledger.
 	GrantedNodes int `json:"granted_nodes"`
 }
 
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -326,8 +326,8 @@
 	}
 }
 
-// recordDemand enters a node's report in the ledger and returns the node's shares. There are
-// none while the ledger has just started.
+// recordDemand enters a node's report in the ledger and returns the node's shares: those that it
+// holds while the ledger has just started, none for a malformed report.
 func (q *quotas) recordDemand(req *control.DemandRequest) *control.DemandReply {
 	q.mu.Lock()
 	defer q.mu.Unlock()
