node: failing test of a replica whose disk refuses writes for a while

Three replicas; the disk of one, follower or leader, refuses writes for half a second. The replica applies nothing afterwards (7 of 17 and 7 of 18 entries after 5 s).

--- /dev/null
+++ b/internal/node/refused_write_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/raft"
+	"github.com/umberthread/umberthread/settings"
+)
+
+// refusingLog is a log whose disk refuses writes while full is set.
+type refusingLog struct {
+	replicaLog
+	full *atomic.Bool
+}
+
+func (l *refusingLog) Save(r *raft.Ready) error {
+	if l.full.Load() && r.MustSave() {
+		return errFullDisk()
+	}
+	return l.replicaLog.Save(r)
+}
+
+func (l *refusingLog) Reset(snap raft.Snapshot, st raft.HardState, entries []raft.Entry) error {
+	if l.full.Load() {
+		return errFullDisk()
+	}
+	return l.replicaLog.Reset(snap, st, entries)
+}
+
+// errFullDisk returns the error of a write to a full disk.
+func errFullDisk() error { return fault.Wrap(fault.Internal, syscall.ENOSPC, "cannot write the log") }
+
+// startRefusableReplicas starts three replicas whose disks can refuse writes.
+func startRefusableReplicas(t *testing.T) ([]*testNode, []*atomic.Bool) {
+	full := []*atomic.Bool{{}, {}, {}}
+	nodes := startReplicasWith(t, func(i int, o *Options) {
+		o.wrapLog = func(log replicaLog) replicaLog { return &refusingLog{log, full[i]} }
+	}, "a", "b", "c")
+	gomega.NewWithT(t).Eventually(func() int { return leaderIndex(nodes) }, 10*time.Second, 5*time.Millisecond).Should(gomega.BeNumerically(">=", 0))
+	return nodes, full
+}
+
+// recoveryAfterLoss bounds the time from the loss of a replica to the next accepted change.
+const recoveryAfterLoss = 5 * time.Second
+
+// A replica whose disk refused writes for a while must save and vote again afterwards: the loss
+// of another replica otherwise leaves the group without a quorum for good.
+func TestChangesAreAcceptedAfterRefusedWritesAndALoss(t *testing.T) {
+	for name, refusing := range map[string]func(leader int) int{
+		"a follower's disk refuses": func(leader int) int { return (leader + 1) % 3 },
+		"the leader's disk refuses": func(leader int) int { return leader },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			nodes, full := startRefusableReplicas(t)
+			leader := leaderIndex(nodes)
+			refused := refusing(leader)
+			lost := (leader + 2) % 3
+			asked := nodes[refused]
+			version := uint64(0)
+			change := func() error {
+				status, res := asked.proposeChange("", version, settings.Entries{"#deadline": fmt.Sprintf("%ds", version+2)})
+				version = max(version, res.Version)
+				if status != 200 {
+					return fault.New(fault.NoQuorum, "refused: "+res.Reason)
+				}
+				return nil
+			}
+			g.Expect(change()).To(gomega.Succeed())
+			full[refused].Store(true)
+			for range 10 {
+				g.Expect(change()).To(gomega.Succeed(), "one refusing disk must not stop changes")
+				time.Sleep(50 * time.Millisecond)
+			}
+			full[refused].Store(false)
+			own := nodes[refused].replicas.groups[configGroup]
+			g.Eventually(func() uint64 { return own.applied.Load() }, recoveryAfterLoss, 10*time.Millisecond).
+				Should(gomega.BeNumerically(">=", nodes[lost].replicas.groups[configGroup].applied.Load()))
+			nodes[lost].Close()
+			g.Eventually(change, recoveryAfterLoss, 50*time.Millisecond).Should(gomega.Succeed())
+		})
+	}
+}
