node: tell operators of a replica whose disk refuses writes

That a replica had stopped after a refused write stood in one line at the level of ordinary events, and nowhere in status or metrics: three replicas that answer and do not lead looked alike whatever the cause.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -158,10 +158,13 @@
 	// SavingMs is how long the save in progress on this replica has taken, in
 	// milliseconds. Stalled reports, on the leader, whether too few disks respond for
 	// a change to be accepted.
-	SavingMs int64    `json:"saving_ms,omitempty"`
-	Stalled  bool     `json:"stalled,omitempty"`
-	Voters   []string `json:"voters"`
-	Learners []string `json:"learners,omitempty"`
+	SavingMs int64 `json:"saving_ms,omitempty"`
+	Stalled  bool  `json:"stalled,omitempty"`
+	// WriteRefusedMs is how long this replica's disk has refused writes, in
+	// milliseconds, and 0 while it accepts them.
+	WriteRefusedMs int64    `json:"write_refused_ms,omitempty"`
+	Voters         []string `json:"voters"`
+	Learners       []string `json:"learners,omitempty"`
 }
 
 // Status returns the node's state.
@@ -224,6 +227,7 @@
 		gs.ToleratesFailure = gs.Leads && g.toleratesFailure.Load()
 		gs.SavingMs = time.Duration(g.saveTime.Load()).Milliseconds()
 		gs.Stalled = g.stalled.Load()
+		gs.WriteRefusedMs = g.writeRefusedFor().Milliseconds()
 		gs.RepairMs = time.Duration(g.lastRepairTime.Load()).Milliseconds()
 		if conf := g.conf.Load(); conf != nil {
 			for _, p := range conf.Voters {
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -81,6 +81,9 @@
 	// reports, on the leader, whether too few disks respond for a quorum.
 	saveTime atomic.Int64
 	stalled  atomic.Bool
+	// writeRefusedSince is when the disk refused the first of the current series of
+	// failed writes, on the node's clock, and 0 while it accepts writes.
+	writeRefusedSince atomic.Int64
 }
 
 // pendingProposal is a proposed command that awaits its result. done is closed
@@ -235,7 +238,17 @@
 	g.failed = true
 	g.applyEvent(replicaEventDiskFailed)
 	g.leads.Store(false)
-	g.replicas.node.logEvent("replica", "Replica stopped after a disk error: "+err.Error())
+	g.writeRefusedSince.Store(int64(g.replicas.node.clock()))
+	g.replicas.node.warnEvent("replica", "Group "+formatUint(uint64(g.id))+": this replica stopped, its disk refuses writes: "+err.Error())
+}
+
+// writeRefusedFor returns how long the disk has refused writes, 0 if it accepts them.
+func (g *group) writeRefusedFor() time.Duration {
+	since := time.Duration(g.writeRefusedSince.Load())
+	if since == 0 {
+		return 0
+	}
+	return g.replicas.node.clock() - since
 }
 
 // applyEntry applies a committed entry and completes the proposal that waits for it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -470,6 +470,12 @@
 	n.recordEvent(part, text)
 }
 
+// warnEvent logs a warning and keeps it for umberctl events.
+func (n *Node) warnEvent(part, text string) {
+	n.warn(part, text)
+	n.recordEvent(part, text)
+}
+
 // recordEvent keeps an event for umberctl events.
 func (n *Node) recordEvent(part, text string) {
 	n.events.add(Event{Time: time.Now(), Node: n.opt.Name, Domain: n.opt.Domain, Part: part, Text: text})
--- a/internal/node/refused_write_test.go
+++ b/internal/node/refused_write_test.go
@@ -89,3 +89,18 @@
 		})
 	}
 }
+
+// Operators must see on the replica itself that its disk refuses writes.
+func TestStatusTellsOfRefusedWrites(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes, full := startRefusableReplicas(t)
+	leader := leaderIndex(nodes)
+	refused := (leader + 1) % 3
+	refusedMs := func() int64 { return nodes[refused].Status().Replica.Groups[configGroup].WriteRefusedMs }
+	g.Expect(refusedMs()).To(gomega.BeZero())
+	full[refused].Store(true)
+	status, _ := nodes[leader].proposeChange("", 0, settings.Entries{"#deadline": "1s"})
+	g.Expect(status).To(gomega.Equal(200))
+	g.Eventually(refusedMs, 5*time.Second, 10*time.Millisecond).Should(gomega.BeNumerically(">", 0))
+	g.Expect(nodes[refused].events.all()).To(gomega.ContainElement(gomega.HaveField("Text", gomega.ContainSubstring("refuses writes"))))
+}
