Refused changes and reads tell why no leader accepted them

Operators saw "no replica can be reached" with status 503 in each case in which no request was open at the end: no replica known, none responding, all responding and none leading, and a leader without a quorum, whose own reason ("the group has 2 of 3 replicas", "the disks of too many replicas do not answer") was dropped. The record of an outage of the second site could not tell these apart. A read that was refused was not logged at all.

seek.Answers now collects the last answer of each replica asked; the refusal has its reason. The code, the execution and the status are as before: the uncertain case keeps its text and has the reason behind it. The reply to a read carries the detail of the refusal, as the reply to a change did.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -143,6 +143,7 @@
 	Revision uint64
 	Entries  settings.Entries
 	Code     fault.Code
+	Detail   string
 	Leader   string
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -184,7 +184,8 @@
 	wait := time.Duration(req.WaitMs) * time.Millisecond
 	version, entries, err := a.node.replicas.readConfig(wait)
 	if err != nil {
-		reply.Code = fault.CodeOf(err)
+		e := fault.From(err)
+		reply.Code, reply.Detail = e.Code, e.Detail
 		reply.Leader = a.node.replicas.leaderAddr(configGroup)
 		return nil
 	}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,8 +19,9 @@
 	addr string
 	// err is set if the replica did not respond.
 	err error
-	// code is fault.None if the request succeeded.
-	code fault.Code
+	// code is fault.None if the request succeeded; detail says more on a refusal.
+	code   fault.Code
+	detail string
 	// leader is the address of the leader according to the replica.
 	leader string
 	// reply is the complete RPC reply.
@@ -29,11 +31,11 @@
 // askLeader sends a request to the replicas of a group, each on its own goroutine,
 // until settled accepts a response or the wait is over. The request may reach several
 // replicas, and one of them twice, so it must be idempotent. askLeader returns the
-// number of requests that have no response yet.
-func (n *Node) askLeader(group int, wait time.Duration, ask func(addr string, wait time.Duration) replicaResponse, settled func(replicaResponse) bool) (unanswered int) {
+// number of requests that have no response yet, and why no response was accepted.
+func (n *Node) askLeader(group int, wait time.Duration, ask func(addr string, wait time.Duration) replicaResponse, settled func(replicaResponse) bool) (unanswered int, reason string) {
 	began := time.Now()
 	elapsed := func() time.Duration { return time.Since(began) }
-	search := seek.New(n.replicas.leaderAddr(group))
+	search, answers := seek.New(n.replicas.leaderAddr(group)), seek.NewAnswers()
 	responses := make(chan replicaResponse)
 	done := make(chan struct{})
 	defer close(done)
@@ -43,6 +45,7 @@
 		addr, nextAt := search.NextReplica(elapsed(), n.replicaAddrs())
 		if addr != "" {
 			unanswered++
+			answers.RecordRequest(addr)
 			go func() {
 				select {
 				case responses <- ask(addr, min(wait-elapsed(), replicaAskTimeout)):
@@ -55,24 +58,28 @@
 		case a := <-responses:
 			unanswered--
 			if settled(a) {
-				return unanswered
+				return unanswered, ""
 			}
-			recordReplicaResponse(search, elapsed(), a)
+			recordReplicaResponse(search, answers, elapsed(), a)
 		case <-timer.C:
 		}
 	}
-	return unanswered
+	return unanswered, answers.Reason(len(n.view.Load().replicas) > 0)
 }
 
-// recordReplicaResponse passes a replica's response to the search for the leader.
-func recordReplicaResponse(s *seek.LeaderSearch, now time.Duration, a replicaResponse) {
+// recordReplicaResponse passes a replica's response to the search for the leader and to
+// the answers.
+func recordReplicaResponse(s *seek.LeaderSearch, answers *seek.Answers, now time.Duration, a replicaResponse) {
 	switch {
 	case a.err != nil:
 		s.RecordNoResponse(now, a.addr)
+		answers.RecordNoResponse(a.addr)
 	case a.code == fault.NotLeader:
 		s.RecordNotLeader(now, a.addr, a.leader)
+		answers.RecordNotLeader(a.addr, a.leader)
 	default:
 		s.RecordNoQuorum(now, a.addr)
+		answers.RecordRefusal(a.addr, cmp.Or(a.detail, a.code.String()))
 	}
 }
 
@@ -85,10 +92,10 @@
 	var refused *fault.Error
 	ask := func(addr string, wait time.Duration) replicaResponse {
 		reply, err := n.submitTo(addr, id, command, wait)
-		return replicaResponse{addr: addr, err: err, code: reply.Code, leader: reply.Leader, reply: reply}
+		return replicaResponse{addr: addr, err: err, code: reply.Code, detail: reply.Detail, leader: reply.Leader, reply: reply}
 	}
 	found := false
-	unanswered := n.askLeader(id, wait, ask, func(a replicaResponse) bool {
+	unanswered, reason := n.askLeader(id, wait, ask, func(a replicaResponse) bool {
 		if a.err != nil {
 			uncertain = uncertain || fault.From(a.err).Execution != fault.NotExecuted
 			return false
@@ -114,9 +121,9 @@
 	case refused != nil:
 		return nil, refused
 	case uncertain || unanswered > 0:
-		return nil, fault.New(fault.NoQuorum, "no quorum confirmed in time").WithUnknownExecution()
+		return nil, fault.New(fault.NoQuorum, "no quorum confirmed in time: "+reason).WithUnknownExecution()
 	default:
-		return nil, fault.New(fault.NoQuorum, "no replica can be reached")
+		return nil, fault.New(fault.NoQuorum, reason)
 	}
 }
 
@@ -152,10 +159,10 @@
 	have := n.conf.Load()
 	ask := func(addr string, wait time.Duration) replicaResponse {
 		reply, err := n.readConfigFrom(addr, have.version, wait)
-		return replicaResponse{addr: addr, err: err, code: reply.Code, leader: reply.Leader, reply: reply}
+		return replicaResponse{addr: addr, err: err, code: reply.Code, detail: reply.Detail, leader: reply.Leader, reply: reply}
 	}
 	var found *control.ReadReply
-	n.askLeader(configGroup, wait, ask, func(a replicaResponse) bool {
+	_, reason := n.askLeader(configGroup, wait, ask, func(a replicaResponse) bool {
 		if a.err != nil || a.code != fault.None {
 			return false
 		}
@@ -163,7 +170,7 @@
 		return true
 	})
 	if found == nil {
-		return nil, fault.New(fault.NoQuorum, "no quorum confirmed the read")
+		return nil, fault.New(fault.NoQuorum, "no quorum confirmed the read: "+reason)
 	}
 	if found.Version == have.version {
 		found.Entries = have.entries
