Replicas resume after their disk has refused writes

What callers and operators saw: after the disk of one replica had been full for 4 s, the loss of another replica's disk 8 s later ended all changes and reads of the settings, at every node, for good; nodes went on with older settings.

Cause: a replica that failed to save once stopped (the chart's end state "failed") until its process was started anew, while its process answered as if it were well. The group tolerated no failure from then on.

Change: the replica goes on without its disk, as with one that stalls, and replaces its log by all that the core holds until the disk takes it. A refused record is not appended again: after a failed sync it is unknown what the file holds. The messages of the refused save are dropped, Raft sends them again. TestReplicasAgreeAfterRefusedWrites plays refused saves, which may have reached the disk all the same, and crashes between; without the rewrite it fails at once. TestResetAfterRefusedWrite does the same with the files.

--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -57,10 +57,12 @@
 	// corresponding state in the replica chart.
 	role       raft.Role
 	chartState chart.State
-	// failed is set after a disk error, which stops the replica.
+	// failed is set after a snapshot that this version cannot read, which stops the replica.
 	failed bool
 	// compacting reports whether a compaction is being written.
 	compacting bool
+	// retry is set while the disk refuses writes.
+	retry *writeRetry
 	// stall records which disks are stalled.
 	stall diskStalls
 
@@ -149,6 +151,7 @@
 	g.core.Tick()
 	g.ticks++
 	g.checkDiskStalls()
+	g.retryWrite()
 	if g.core.Role() != raft.Leader {
 		g.settled.Store(true)
 		g.vulnerableSince = time.Time{}
@@ -223,7 +226,9 @@
 	switch {
 	case g.failed:
 	case w.err != nil:
-		g.fail(w.err)
+		g.recordRefusedWrite(w)
+	case w.job.rewrite:
+		g.completeRewrite()
 	case w.job.reset != nil:
 		g.compacting = false
 	default:
@@ -232,23 +237,13 @@
 	}
 }
 
-// fail stops the replica after a disk error. It must not continue, as the state on
-// disk is unknown; the next start checks it and takes a new identity if it is damaged.
+// fail stops the replica after a snapshot that it cannot read, as what it would apply next
+// builds on the snapshot.
 func (g *group) fail(err error) {
 	g.failed = true
-	g.applyEvent(replicaEventDiskFailed)
+	g.applyEvent(replicaEventRestoreFailed)
 	g.leads.Store(false)
-	g.writeRefusedSince.Store(int64(g.replicas.node.clock()))
-	g.replicas.node.warnEvent("replica", "Group "+formatUint(uint64(g.id))+": this replica stopped, its disk refuses writes: "+err.Error())
-}
-
-// writeRefusedFor returns how long the disk has refused writes, 0 if it accepts them.
-func (g *group) writeRefusedFor() time.Duration {
-	since := time.Duration(g.writeRefusedSince.Load())
-	if since == 0 {
-		return 0
-	}
-	return g.replicas.node.clock() - since
+	g.replicas.node.warnEvent("replica", "Group "+formatUint(uint64(g.id))+": this replica stopped, it cannot read a snapshot: "+err.Error())
 }
 
 // applyEntry applies a committed entry and completes the proposal that waits for it.
@@ -331,7 +326,7 @@
 	if g.failed || g.compacting || g.core.LogLen() < compactionThreshold {
 		return
 	}
-	if g.core.Saving() {
+	if g.core.Saving() || g.retry != nil {
 		return
 	}
 	data, err := g.sm.snapshot()
--- a/internal/node/log_writer.go
+++ b/internal/node/log_writer.go
@@ -6,14 +6,14 @@
 	"github.com/umberthread/umberthread/raft"
 )
 
-// writerQueueSize holds all jobs that a group has pending at once: a save, a compaction, and
-// the first snapshot of a new group. The queue is therefore never full.
+// writerQueueSize holds all jobs that a group has pending at once: a save, a compaction, the
+// rewrite after a refused write, and the first snapshot of a new group. The queue is therefore never full.
 const writerQueueSize = 4
 
 // replicaLog stores the durable state of a replica. Each call returns once its effect is
 // synced.
 type replicaLog interface {
-	// Save persists a Ready.
+	// Save persists a Ready. After an error the log must be replaced by Reset.
 	Save(r *raft.Ready) error
 	// Reset replaces everything by a snapshot, a state and the entries after the snapshot.
 	Reset(snap raft.Snapshot, st raft.HardState, entries []raft.Entry) error
@@ -34,6 +34,8 @@
 type writeJob struct {
 	ready raft.Ready
 	reset *logReset
+	// rewrite marks the reset that repairs the log after a refused write.
+	rewrite bool
 }
 
 // logReset replaces the log. A nil state keeps the last saved one.
--- a/internal/node/refused_write_test.go
+++ b/internal/node/refused_write_test.go
@@ -43,10 +43,25 @@
 	nodes := startReplicasWith(t, func(i int, o *Options) {
 		o.wrapLog = func(log replicaLog) replicaLog { return &refusingLog{log, full[i]} }
 	}, "a", "b", "c")
+	t.Cleanup(func() {
+		if t.Failed() {
+			logReplicaEvents(t, nodes)
+		}
+	})
 	gomega.NewWithT(t).Eventually(func() int { return leaderIndex(nodes) }, 10*time.Second, 5*time.Millisecond).Should(gomega.BeNumerically(">=", 0))
 	return nodes, full
 }
 
+// logReplicaEvents logs the status of the settings group and the events of each node.
+func logReplicaEvents(t *testing.T, nodes []*testNode) {
+	for _, n := range nodes {
+		t.Logf("%s: %+v", n.opt.Name, n.replicas.status().Groups[configGroup])
+		for _, e := range n.events.all() {
+			t.Logf("%s %s %s", e.Time.Format(time.StampMilli), e.Part, e.Text)
+		}
+	}
+}
+
 // recoveryAfterLoss bounds the time from the loss of a replica to the next accepted change.
 const recoveryAfterLoss = 5 * time.Second
 
@@ -90,7 +105,8 @@
 	}
 }
 
-// Operators must see on the replica itself that its disk refuses writes.
+// Operators must see on the replica itself that its disk refuses writes, and that it no longer
+// does.
 func TestStatusTellsOfRefusedWrites(t *testing.T) {
 	g := gomega.NewWithT(t)
 	nodes, full := startRefusableReplicas(t)
@@ -103,4 +119,7 @@
 	g.Expect(status).To(gomega.Equal(200))
 	g.Eventually(refusedMs, 5*time.Second, 10*time.Millisecond).Should(gomega.BeNumerically(">", 0))
 	g.Expect(nodes[refused].events.all()).To(gomega.ContainElement(gomega.HaveField("Text", gomega.ContainSubstring("refuses writes"))))
+	full[refused].Store(false)
+	g.Eventually(refusedMs, 5*time.Second, 10*time.Millisecond).Should(gomega.BeZero())
+	g.Expect(nodes[refused].events.all()).To(gomega.ContainElement(gomega.HaveField("Text", gomega.ContainSubstring("accepts writes again"))))
 }
--- a/internal/node/state_charts.go
+++ b/internal/node/state_charts.go
@@ -31,9 +31,9 @@
 		member.Draining: backendChart.Event("say-draining"),
 	}
 
-	replicaChart           = chart.MustLoad("replica")
-	replicaEventDiskFailed = replicaChart.Event("disk-failed")
-	replicaRoleEvents      = map[raft.Role]chart.Event{
+	replicaChart              = chart.MustLoad("replica")
+	replicaEventRestoreFailed = replicaChart.Event("restore-failed")
+	replicaRoleEvents         = map[raft.Role]chart.Event{
 		raft.Follower:     replicaChart.Event("step-down"),
 		raft.PreCandidate: replicaChart.Event("campaign"),
 		raft.Candidate:    replicaChart.Event("promising"),
--- a/raft/core.go
+++ b/raft/core.go
@@ -378,5 +378,11 @@
 // quorum returns the number of voters that form a majority.
 func (c *Core) quorum() int { return len(c.conf.Voters)/2 + 1 }
 
+// PersistentState returns everything that must be on disk, including what is not saved yet: a
+// log that is replaced by it holds at least the contents of the save in progress.
+func (c *Core) PersistentState() (HardState, Snapshot, []Entry) {
+	return c.state, c.log.snapshot, c.EntriesAfterSnapshot()
+}
+
 // EntriesAfterSnapshot returns a copy of the uncompacted log.
 func (c *Core) EntriesAfterSnapshot() []Entry { return slices.Clone(c.log.entries) }
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -39,8 +39,10 @@
 	core *Core
 	disk *simDisk
 	down bool
-	// pendingSave is the save in progress, if saves are slow.
+	// pendingSave is the save in progress, if saves are slow, and saveRefused whether the disk
+	// has refused it.
 	pendingSave *Ready
+	saveRefused bool
 }
 
 // simCluster runs replicas in one process over a network that loses, delays, duplicates and
@@ -62,7 +64,9 @@
 	// checks must detect.
 	sendBeforeSync bool
 	// slowSaves keeps saves pending until finishSave.
-	slowSaves      bool
+	slowSaves bool
+	// refuseSaves makes disks refuse some of the slow saves.
+	refuseSaves    bool
 	appliedEntries int
 	// onViolation, if set, is called instead of failing the test.
 	onViolation func()
@@ -110,7 +114,7 @@
 	o := Options{ID: r.id, ElectionTicks: 10, HeartbeatTicks: 2, Rand: c.rng, MaxBatchEntries: 4}
 	r.core = New(o, r.disk.state, r.disk.snap, append([]Entry(nil), r.disk.entries...))
 	r.down = false
-	r.pendingSave = nil
+	r.pendingSave, r.saveRefused = nil, false
 }
 
 // processReady does a replica's pending work. It crashes the replica before the save if
@@ -155,6 +159,10 @@
 
 // finishSave completes the pending save of a replica.
 func (c *simCluster) finishSave(r *simReplica) {
+	if r.saveRefused {
+		c.rewriteLog(r)
+		return
+	}
 	rd := *r.pendingSave
 	r.pendingSave = nil
 	r.disk.save(rd)
--- a/raft/stall_test.go
+++ b/raft/stall_test.go
@@ -229,6 +229,12 @@
 		// Crash after the save but before it is reported.
 		r.disk.save(*r.pendingSave)
 		c.crash(r)
+	case 2, 3, 4, 5, 6, 7, 8, 9:
+		if c.refuseSaves {
+			c.refuseSave(r)
+			return
+		}
+		c.finishSave(r)
 	default:
 		c.finishSave(r)
 	}
