internal/disk: the file system of the durable state behind an interface

No change of behaviour. The log of a group and the replica's identity go through a file system, so that tests can refuse calls, or lose what was not synced when the power fails. What wrote a file atomically in the package wal is there now.

--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -9,6 +9,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/disk"
 )
 
 // Options are the settings of one process, read from its TOML file. Settings that
@@ -91,6 +92,8 @@
 	HTTPAdapter HTTPAdapter `toml:"-"`
 	// wrapLog lets tests wrap the log of a group.
 	wrapLog func(replicaLog) replicaLog
+	// disk lets tests replace the file system of the data folder.
+	disk disk.FS
 }
 
 // Duration is a time.Duration written as "1.5s" in TOML.
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +13,7 @@
 
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/internal/disk"
 	"github.com/umberthread/umberthread/internal/ring"
 	"github.com/umberthread/umberthread/internal/wal"
 	"github.com/umberthread/umberthread/raft"
@@ -26,6 +26,8 @@
 	configGroup = 0
 	// identityFile is the file in the data folder that holds the replica's identity.
 	identityFile = "identity"
+	// groupPrefix begins the names of the groups' subfolders.
+	groupPrefix = "group-"
 	// damagedPrefix begins the names of the subfolders to which damaged data is moved.
 	damagedPrefix = "lost-"
 	// sendQueueSize is how many messages are queued for one node.
@@ -68,28 +70,37 @@
 		return r, err
 	}
 	n.logEvent("replica", "The data folder is damaged and set aside: "+err.Error())
-	if err := moveAside(n.opt.DataFolder); err != nil {
+	if err := moveAside(n.dataFolder()); err != nil {
 		return nil, err
 	}
 	r.groups = nil
 	return r, r.openGroups()
 }
 
+// dataFolder returns the data folder.
+func (n *Node) dataFolder() disk.Folder {
+	f := disk.Folder{FS: n.opt.disk, Path: n.opt.DataFolder}
+	if f.FS == nil {
+		f.FS = disk.OS{}
+	}
+	return f
+}
+
 // moveAside moves the contents of the folder into a new subfolder.
-func moveAside(dir string) error {
-	target := filepath.Join(dir, damagedPrefix+strconv.FormatInt(time.Now().UnixNano(), 36))
-	if err := os.Mkdir(target, 0o755); err != nil {
+func moveAside(dir disk.Folder) error {
+	target := dir.Folder(damagedPrefix + strconv.FormatInt(time.Now().UnixNano(), 36))
+	if err := target.Create(); err != nil {
 		return fault.Wrap(fault.Internal, err, "cannot set the data folder aside")
 	}
-	items, err := os.ReadDir(dir)
+	names, err := dir.Names()
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "cannot read the data folder")
 	}
-	for _, it := range items {
-		if strings.HasPrefix(it.Name(), damagedPrefix) {
+	for _, name := range names {
+		if strings.HasPrefix(name, damagedPrefix) {
 			continue
 		}
-		if err := os.Rename(filepath.Join(dir, it.Name()), filepath.Join(target, it.Name())); err != nil {
+		if err := dir.Rename(dir.Join(name), target.Join(name)); err != nil {
 			return fault.Wrap(fault.Internal, err, "cannot set the data folder aside")
 		}
 	}
@@ -98,15 +109,15 @@
 
 // openGroups opens all groups in the data folder, which it creates if necessary.
 func (r *replicas) openGroups() error {
-	dir := r.node.opt.DataFolder
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	dir := r.node.dataFolder()
+	if err := dir.Create(); err != nil {
 		return fault.Wrap(fault.Internal, err, "cannot create the data folder")
 	}
 	if err := r.loadIdentity(dir); err != nil {
 		return err
 	}
 	for id := 0; id <= r.node.opt.Shards; id++ {
-		w, loaded, err := wal.Open(filepath.Join(dir, "group-"+strconv.Itoa(id)))
+		w, loaded, err := wal.OpenFolder(dir.Folder(groupFolder(id)))
 		if err != nil {
 			return err
 		}
@@ -126,6 +137,9 @@
 	return nil
 }
 
+// groupFolder returns the name of a group's folder in the data folder.
+func groupFolder(id int) string { return groupPrefix + strconv.Itoa(id) }
+
 // wrapLog applies the test hook Options.wrapLog, if it is set.
 func (r *replicas) wrapLog(log replicaLog) replicaLog {
 	if r.node.opt.wrapLog == nil {
@@ -136,9 +150,8 @@
 
 // loadIdentity reads the replica's identity, or creates one in an empty folder. A
 // folder with groups but no identity is corrupt.
-func (r *replicas) loadIdentity(dir string) error {
-	path := filepath.Join(dir, identityFile)
-	b, err := os.ReadFile(path)
+func (r *replicas) loadIdentity(dir disk.Folder) error {
+	b, err := dir.ReadFile(dir.Join(identityFile))
 	if err == nil && len(b) == len(newID()) {
 		r.id = string(b)
 		return nil
@@ -146,11 +159,18 @@
 	if err == nil || !errors.Is(err, os.ErrNotExist) {
 		return fault.New(fault.Corrupt, "the replica's identity is damaged")
 	}
-	if _, err := os.Stat(filepath.Join(dir, "group-0")); err == nil {
+	names, err := dir.Names()
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot read the data folder")
+	}
+	if slices.Contains(names, groupFolder(configGroup)) {
 		return fault.New(fault.Corrupt, "the replica's identity is missing")
 	}
 	r.id = newID()
-	return wal.WriteFileAtomic(dir, identityFile, []byte(r.id))
+	if err := dir.ReplaceFile(identityFile, []byte(r.id)); err != nil {
+		return fault.Wrap(fault.Corrupt, err, "cannot write the replica's identity")
+	}
+	return nil
 }
 
 const (
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -13,12 +13,12 @@
 	"hash/crc32"
 	"io"
 	"os"
-	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/disk"
 	"github.com/umberthread/umberthread/raft"
 )
 
@@ -52,9 +52,9 @@
 
 // WAL is the open directory of a replica group. It is not safe for concurrent use.
 type WAL struct {
-	dir        string
-	logFile    *os.File
-	syncedFile *os.File
+	dir        disk.Folder
+	logFile    disk.File
+	syncedFile disk.File
 	// logSize is the size of the log, and baseIndex the snapshot index that it continues.
 	logSize   int64
 	baseIndex uint64
@@ -76,9 +76,14 @@
 // termVoteOf returns the term and vote of a state.
 func termVoteOf(s raft.HardState) termVote { return termVote{s.Term, s.Vote} }
 
-// Open opens or creates the directory and returns its contents.
+// Open opens or creates a directory of the operating system; see OpenFolder.
 func Open(dir string) (*WAL, Contents, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	return OpenFolder(disk.Folder{FS: disk.OS{}, Path: dir})
+}
+
+// OpenFolder opens or creates the directory and returns its contents.
+func OpenFolder(dir disk.Folder) (*WAL, Contents, error) {
+	if err := dir.Create(); err != nil {
 		return nil, Contents{}, fault.Wrap(fault.Internal, err, "cannot create the data directory")
 	}
 	w := &WAL{dir: dir}
@@ -94,10 +99,10 @@
 		return err
 	}
 	var err error
-	if w.syncedFile, err = os.OpenFile(w.path(syncedFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
+	if w.syncedFile, err = w.dir.OpenFile(w.path(syncedFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
 		return fault.Wrap(fault.Internal, err, "cannot open the file with the synced size")
 	}
-	if w.logFile, err = os.OpenFile(w.path(logFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
+	if w.logFile, err = w.dir.OpenFile(w.path(logFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
 		return fault.Wrap(fault.Internal, err, "cannot open the log")
 	}
 	validSize, err := w.replay()
@@ -120,11 +125,11 @@
 }
 
 // path returns the path of a file in the directory.
-func (w *WAL) path(name string) string { return filepath.Join(w.dir, name) }
+func (w *WAL) path(name string) string { return w.dir.Join(name) }
 
 // loadSnapshot reads the snapshot file, if there is one.
 func (w *WAL) loadSnapshot() error {
-	data, err := os.ReadFile(w.path(snapshotFileName))
+	data, err := w.dir.ReadFile(w.path(snapshotFileName))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
@@ -318,7 +323,7 @@
 // reopen switches to a replaced log of the given size.
 func (w *WAL) reopen(snap raft.Snapshot, st raft.HardState, size int64) error {
 	_ = w.logFile.Close()
-	f, err := os.OpenFile(w.path(logFileName), os.O_RDWR, 0o644)
+	f, err := w.dir.OpenFile(w.path(logFileName), os.O_RDWR, 0o644)
 	if err != nil {
 		return fault.Wrap(fault.Corrupt, err, "cannot open the log")
 	}
@@ -348,35 +353,16 @@
 }
 
 // replaceFile atomically replaces a file with synced contents.
-func replaceFile(dir, name string, data []byte) error {
-	tmp := filepath.Join(dir, name+".new")
-	f, err := os.Create(tmp)
-	if err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot create "+name)
-	}
-	if _, err = f.Write(data); err == nil {
-		err = f.Sync()
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
-	if err == nil {
-		err = os.Rename(tmp, filepath.Join(dir, name))
-	}
-	if err != nil {
+func replaceFile(dir disk.Folder, name string, data []byte) error {
+	if err := dir.ReplaceFile(name, data); err != nil {
 		return fault.Wrap(fault.Corrupt, err, "cannot replace "+name)
 	}
-	return syncDir(dir)
+	return nil
 }
 
 // syncDir syncs a directory, which persists renames in it.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot open the data directory")
-	}
-	defer func() { _ = d.Close() }()
-	if err := d.Sync(); err != nil {
+func syncDir(dir disk.Folder) error {
+	if err := dir.Sync(); err != nil {
 		return fault.Wrap(fault.Corrupt, err, "cannot sync the data directory")
 	}
 	return nil
@@ -384,6 +370,3 @@
 
 // State returns the last saved state.
 func (w *WAL) State() raft.HardState { return w.contents.State }
-
-// WriteFileAtomic atomically writes a file to a directory and syncs it.
-func WriteFileAtomic(dir, name string, data []byte) error { return replaceFile(dir, name, data) }
