--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -112,7 +112,12 @@
 	if synced := w.readSyncedSize(); validSize < synced {
 		return fault.Newf(fault.Corrupt, "the log is corrupt at byte %d, but %d bytes were synced", validSize, synced)
 	}
-	w.dropCoveredEntries()
+	if err := w.dropCoveredEntries(); err != nil {
+		return err
+	}
+	if !w.logContinuesSnapshot(validSize) {
+		return w.Reset(w.contents.Snapshot, w.contents.State, w.contents.Entries)
+	}
 	if err := w.logFile.Truncate(validSize); err != nil {
 		return fault.Wrap(fault.Internal, err, "cannot truncate the log")
 	}
@@ -180,39 +185,58 @@
 		if validSize == 0 {
 			w.baseIndex = r.Base
 		}
-		w.applyRecord(r)
+		if !w.applyRecord(r) {
+			return validSize, nil
+		}
 		validSize += int64(n)
 	}
 }
 
-// applyRecord updates the contents with a record of the log that starts after baseIndex.
-func (w *WAL) applyRecord(r record) {
-	if r.State != nil {
-		w.contents.State = *r.State
-	}
+// applyRecord updates the contents with a record of the log that starts after baseIndex. It
+// reports false if the record does not continue the entries before it.
+func (w *WAL) applyRecord(r record) bool {
 	for _, e := range r.Entries {
 		at := int64(e.Index) - int64(w.baseIndex) - 1
-		if at < 0 || at > int64(len(w.contents.Entries)) {
-			continue
+		if at > int64(len(w.contents.Entries)) {
+			return false
+		}
+		if at >= 0 {
+			w.contents.Entries = append(w.contents.Entries[:at], e)
 		}
-		w.contents.Entries = append(w.contents.Entries[:at], e)
 	}
+	if r.State != nil {
+		w.contents.State = *r.State
+	}
+	return true
 }
 
 // dropCoveredEntries drops the entries covered by the snapshot, after a crash between writing
 // the snapshot and replacing the log. If the log does not match the snapshot's last entry, it
 // drops all entries.
-func (w *WAL) dropCoveredEntries() {
+func (w *WAL) dropCoveredEntries() error {
 	snap := &w.contents.Snapshot
 	if w.baseIndex == snap.Index {
-		return
+		return nil
+	}
+	if w.baseIndex > snap.Index {
+		return fault.Newf(fault.Corrupt, "the log continues a snapshot of index %d, but the snapshot's index is %d", w.baseIndex, snap.Index)
 	}
 	at := int64(snap.Index) - int64(w.baseIndex) - 1
-	if at < 0 || at >= int64(len(w.contents.Entries)) || w.contents.Entries[at].Term != snap.Term {
+	if at >= int64(len(w.contents.Entries)) || w.contents.Entries[at].Term != snap.Term {
 		w.contents.Entries = nil
-		return
+		return nil
 	}
 	w.contents.Entries = append([]raft.Entry(nil), w.contents.Entries[at+1:]...)
+	return nil
+}
+
+// logContinuesSnapshot reports whether records may be appended to a log of the given size. The
+// next Open would take them for entries after another snapshot otherwise, and drop them.
+func (w *WAL) logContinuesSnapshot(size int64) bool {
+	if size == 0 {
+		return w.contents.Snapshot.Index == 0
+	}
+	return w.baseIndex == w.contents.Snapshot.Index
 }
 
 // readSyncedSize returns the synced size of the log, or 0 if the stored size is corrupt or
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -115,3 +115,56 @@
 		})
 	}
 }
+
+// TestSavesAfterCrashBetweenSnapshotAndLogAreKept guards against the loss of entries that are
+// saved after Open found a newer snapshot with an older log.
+func TestSavesAfterCrashBetweenSnapshotAndLogAreKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		index, term uint64
+		emptyLog    bool
+	}{
+		"the log contains the snapshot's last entry": {5, 1, false},
+		"the log diverges from the snapshot":         {5, 2, false},
+		"the log ends before the snapshot":           {20, 2, false},
+		"the log is empty":                           {20, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			dir := writeTestLog(t)
+			if c.emptyLog {
+				g.Expect(os.RemoveAll(dir)).To(gomega.Succeed())
+			}
+			w, _, err := Open(dir)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			old := map[string][]byte{}
+			for _, file := range []string{logFileName, syncedFileName} {
+				old[file], err = os.ReadFile(filepath.Join(dir, file))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			g.Expect(w.Reset(raft.Snapshot{Index: c.index, Term: c.term}, raft.HardState{Term: 2}, nil)).To(gomega.Succeed())
+			w.Close()
+			for file, contents := range old {
+				g.Expect(os.WriteFile(filepath.Join(dir, file), contents, 0o644)).To(gomega.Succeed())
+			}
+			w, got, err := Open(dir)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			next := c.index + uint64(len(got.Entries)) + 1
+			saved := append(got.Entries, testEntries(next, next+2, 2)...)
+			g.Expect(w.Save(&raft.Ready{Entries: testEntries(next, next+2, 2)})).To(gomega.Succeed())
+			w.Close()
+			_, got, err = Open(dir)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(got.Entries).To(gomega.Equal(saved))
+		})
+	}
+}
+
+// TestMissingSnapshotIsDetected guards against taking a log without the snapshot that it
+// continues for an empty one.
+func TestMissingSnapshotIsDetected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := writeTestLog(t)
+	g.Expect(os.Remove(filepath.Join(dir, snapshotFileName))).To(gomega.Succeed())
+	_, _, err := Open(dir)
+	g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.Corrupt))
+}
