internal/wal: sync what Open returns

Callers saw: accepted changes could be gone, and a replica could vote twice in a term, after a process was killed and its machine lost power soon after.

Cause: a killed process leaves its last write in the file, not on the disk. The next process loaded it, and the replica confirmed these entries to its leader and kept the vote, as what is loaded counts as saved. Nothing synced the file until the next save.

Open syncs the log before it returns, and leaves its size alone if there is nothing to drop, as a full disk may refuse that.

--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -118,10 +118,9 @@
 	if !w.logContinuesSnapshot(validSize) {
 		return w.Reset(w.contents.Snapshot, w.contents.State, w.contents.Entries)
 	}
-	if err := w.logFile.Truncate(validSize); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot truncate the log")
+	if err := w.truncateLog(validSize); err != nil {
+		return err
 	}
-	w.logSize = validSize
 	w.syncedVote = termVoteOf(w.contents.State)
 	if _, err := w.logFile.Seek(validSize, io.SeekStart); err != nil {
 		return fault.Wrap(fault.Internal, err, "cannot seek in the log")
@@ -129,6 +128,21 @@
 	return syncDir(w.dir)
 }
 
+// truncateLog drops the end of the log and syncs the rest: a killed process may have left
+// records unsynced, and what Open returns is acted on.
+func (w *WAL) truncateLog(size int64) error {
+	if size < w.logSize {
+		if err := w.logFile.Truncate(size); err != nil {
+			return fault.Wrap(fault.Internal, err, "cannot truncate the log")
+		}
+		w.logSize = size
+	}
+	if err := w.logFile.Sync(); err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot sync the log")
+	}
+	return nil
+}
+
 // path returns the path of a file in the directory.
 func (w *WAL) path(name string) string { return w.dir.Join(name) }
 
@@ -171,6 +185,7 @@
 	if err != nil {
 		return 0, fault.Wrap(fault.Corrupt, err, "cannot read the log")
 	}
+	w.logSize = int64(len(data))
 	var validSize int64
 	w.baseIndex = w.contents.Snapshot.Index
 	for {
