internal/wal: tell a torn synced size from a written one

The synced size is never synced itself, so a loss of power may tear a write of it and leave a mix of two. Its check was the exclusive or of the other two numbers, and a mix could pass it with a size above the log's: a sound disk then counted as lost.

Evidence: TestTornSyncedSizeIsIgnored, which tears 110 sizes over each other at every byte, failed at once: base 0, size 0 and base 256, size 257 mix to base 256, size 256 with a check that holds. With a CRC-32C in its place it passes.

A file of the former format counts as torn, which is safe: without a synced size Open accepts the loss of more records.

--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -29,7 +29,7 @@
 	headerBytes      = 8
 	// maxRecordBytes limits the payload of a record.
 	maxRecordBytes  = 64 << 20
-	syncedFileBytes = 24
+	syncedFileBytes = 16 + crc32.Size
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -261,24 +261,35 @@
 	if _, err := w.syncedFile.ReadAt(b[:], 0); err != nil {
 		return 0
 	}
-	base, n := binary.BigEndian.Uint64(b[:]), binary.BigEndian.Uint64(b[8:])
-	if base != w.baseIndex || base^n != ^binary.BigEndian.Uint64(b[16:]) {
+	base, size, ok := decodeSyncedSize(b[:])
+	if !ok || base != w.baseIndex {
 		return 0
 	}
-	return int64(n)
+	return size
 }
 
 // writeSyncedSize stores the synced size of the log. It needs no sync: an outdated size only
 // makes Open accept the loss of more records.
 func (w *WAL) writeSyncedSize() error {
-	var b [syncedFileBytes]byte
-	binary.BigEndian.PutUint64(b[:], w.baseIndex)
-	binary.BigEndian.PutUint64(b[8:], uint64(w.logSize))
-	binary.BigEndian.PutUint64(b[16:], ^(w.baseIndex ^ uint64(w.logSize)))
-	_, err := w.syncedFile.WriteAt(b[:], 0)
+	_, err := w.syncedFile.WriteAt(encodeSyncedSize(w.baseIndex, w.logSize), 0)
 	return err
 }
 
+// encodeSyncedSize returns the contents of the file with the synced size of a log.
+func encodeSyncedSize(base uint64, size int64) []byte {
+	b := make([]byte, 0, syncedFileBytes)
+	b = binary.BigEndian.AppendUint64(b, base)
+	b = binary.BigEndian.AppendUint64(b, uint64(size))
+	return binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+}
+
+// decodeSyncedSize reads what encodeSyncedSize returned, and reports false if it is torn.
+func decodeSyncedSize(b []byte) (base uint64, size int64, ok bool) {
+	data, sum := b[:syncedFileBytes-crc32.Size], b[syncedFileBytes-crc32.Size:]
+	ok = crc32.Checksum(data, castagnoli) == binary.BigEndian.Uint32(sum)
+	return binary.BigEndian.Uint64(data), int64(binary.BigEndian.Uint64(data[8:])), ok
+}
+
 // SetBeforeSync sets a function that is called before each sync; tests use it to simulate a
 // stalled disk. It must be called before the WAL is used.
 func (w *WAL) SetBeforeSync(hold func()) { w.beforeSync = hold }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -168,3 +169,27 @@
 	_, _, err := Open(dir)
 	g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.Corrupt))
 }
+
+// TestTornSyncedSizeIsIgnored guards against a synced size that a torn write mixed from two
+// others: if it were higher than both, a sound log would count as corrupt.
+func TestTornSyncedSizeIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var written [][]byte
+	for _, base := range []uint64{0, 1, 2, 255, 256, 257, 511, 512, 4096, 65536} {
+		for _, size := range []int64{0, 1, 255, 256, 257, 511, 512, 4095, 4097, 65535, 65537} {
+			written = append(written, encodeSyncedSize(base, size))
+		}
+	}
+	for _, before := range written {
+		for _, after := range written {
+			for cut := range after {
+				torn := slices.Concat(after[:cut], before[cut:])
+				if slices.Equal(torn, before) || slices.Equal(torn, after) {
+					continue
+				}
+				_, _, ok := decodeSyncedSize(torn)
+				g.Expect(ok).To(gomega.BeFalse(), "%x from %x and %x", torn, before, after)
+			}
+		}
+	}
+}
