--- a/internal/wal/crash_test.go
+++ b/internal/wal/crash_test.go
@@ -139,7 +139,7 @@
 func (s *crashScript) step() error {
 	snapshot := s.next.Snapshot.Index
 	var err error
-	switch kind := s.rand.IntN(10); {
+	switch kind := s.rand.IntN(11); {
 	case kind < 4:
 		r := raft.Ready{Entries: s.newEntries(s.last() + 1)}
 		if s.rand.IntN(2) == 0 {
@@ -176,6 +176,9 @@
 		}
 		snap := s.next.Snapshot
 		err = s.log.Save(&raft.Ready{State: &st, Snapshot: &snap, Entries: slices.Clone(s.next.Entries)})
+	case kind < 10:
+		// The log is written anew, without what was replaced in it.
+		err = s.log.Reset(s.next.Snapshot, s.next.State, slices.Clone(s.next.Entries))
 	default:
 		return s.open()
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -275,6 +275,18 @@
 	return err
 }
 
+// forgetSyncedSize removes the synced size before a log is replaced by one that continues the
+// same snapshot. After a loss of power the size of the former log could exceed the new one's.
+func (w *WAL) forgetSyncedSize() error {
+	if err := w.syncedFile.Truncate(0); err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot remove the synced size")
+	}
+	if err := w.syncedFile.Sync(); err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot remove the synced size")
+	}
+	return nil
+}
+
 // encodeSyncedSize returns the contents of the file with the synced size of a log.
 func encodeSyncedSize(base uint64, size int64) []byte {
 	b := make([]byte, 0, syncedFileBytes)
@@ -364,6 +376,11 @@
 		return fault.Wrap(fault.Internal, err, "cannot encode a record")
 	}
 	log := appendFrame(nil, payload)
+	if snap.Index == w.baseIndex {
+		if err := w.forgetSyncedSize(); err != nil {
+			return err
+		}
+	}
 	if err := replaceFile(w.dir, logFileName, log); err != nil {
 		return err
 	}
