A disk that refuses calls is no lost disk

Operators saw: a replica whose disk was full, or whose process had too many open files, could come back under a new identity, with its data set aside, though nothing was damaged. While another disk was lost, that left the group without a quorum.

Cause: the log's Open and the reading of the identity gave errors of the disk the code corrupt, by which a start sets the folder aside. Others had the code internal, and ended the process at once.

Errors of calls now have the code disk-refused, the synced size included, which was taken for 0 if it could not be read. A start warns once, tries again for 3 s with 20 to 500 ms between tries, and then ends with exit code 9. Files are closed before each try.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -87,6 +87,8 @@
 	QuotaExceeded
 	// RateLimited means that the backend server accepts no more requests per second.
 	RateLimited
+	// DiskRefused means that the disk refused a read or a write. What it stores may be sound.
+	DiskRefused
 	numCodes
 )
 
@@ -135,6 +137,7 @@
 	Unauthenticated:  {"unauthenticated", http.StatusUnauthorized, 17},
 	QuotaExceeded:    {"quota-exceeded", http.StatusTooManyRequests, 18},
 	RateLimited:      {"rate-limited", http.StatusServiceUnavailable, 10},
+	DiskRefused:      {"disk-refused", http.StatusServiceUnavailable, 9},
 }
 
 // String returns the name of the code as used in refusals and metrics.
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -57,24 +57,52 @@
 	msg   raft.Message
 }
 
-// openReplicas opens the replicas in the data folder. A damaged folder counts as a
-// lost disk: its contents are moved aside and the replica starts empty under a new
-// identity, because votes and entries of the old one may be lost.
+const (
+	// openRetryTime is how long a start waits for a disk that refuses calls. Then the
+	// process ends, and whoever runs it starts it again.
+	openRetryTime = 3 * time.Second
+	// minOpenRetryDelay and maxOpenRetryDelay bound the time between two tries, which
+	// doubles.
+	minOpenRetryDelay = 20 * time.Millisecond
+	maxOpenRetryDelay = 500 * time.Millisecond
+)
+
+// openReplicas opens the replicas in the data folder, and tries again for a while if
+// the disk refuses calls.
 func openReplicas(n *Node) (*replicas, error) {
 	r := &replicas{node: n, sendQueues: map[string]*ring.Queue[outgoingMessage]{}}
 	if n.opt.DataFolder == "" {
 		return r, nil
 	}
+	begun, delay := time.Now(), minOpenRetryDelay
+	err := r.openOrSetAside()
+	if fault.CodeOf(err) == fault.DiskRefused {
+		n.warn("replica", "The disk refuses calls; trying again to open the data folder.", "for", openRetryTime, "err", err)
+		n.recordEvent("replica", "The disk refuses calls: "+err.Error())
+	}
+	for fault.CodeOf(err) == fault.DiskRefused && time.Since(begun) < openRetryTime {
+		time.Sleep(delay)
+		delay = min(2*delay, maxOpenRetryDelay)
+		if err = r.openOrSetAside(); err == nil {
+			n.logEvent("replica", "The disk accepts calls again after "+time.Since(begun).Round(time.Millisecond).String()+".")
+		}
+	}
+	return r, err
+}
+
+// openOrSetAside opens the groups. A damaged folder counts as a lost disk: its contents
+// are moved aside and the replica starts empty under a new identity, because votes and
+// entries of the old one may be lost. A disk that refuses calls has lost nothing.
+func (r *replicas) openOrSetAside() error {
 	err := r.openGroups()
 	if fault.CodeOf(err) != fault.Corrupt {
-		return r, err
+		return err
 	}
-	n.logEvent("replica", "The data folder is damaged and set aside: "+err.Error())
-	if err := moveAside(n.dataFolder()); err != nil {
-		return nil, err
+	r.node.logEvent("replica", "The data folder is damaged and set aside: "+err.Error())
+	if err := moveAside(r.node.dataFolder()); err != nil {
+		return err
 	}
-	r.groups = nil
-	return r, r.openGroups()
+	return r.openGroups()
 }
 
 // dataFolder returns the data folder.
@@ -90,28 +118,40 @@
 func moveAside(dir disk.Folder) error {
 	target := dir.Folder(damagedPrefix + strconv.FormatInt(time.Now().UnixNano(), 36))
 	if err := target.Create(); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot set the data folder aside")
+		return fault.Wrap(fault.DiskRefused, err, "cannot set the data folder aside")
 	}
 	names, err := dir.Names()
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot read the data folder")
+		return fault.Wrap(fault.DiskRefused, err, "cannot read the data folder")
 	}
 	for _, name := range names {
 		if strings.HasPrefix(name, damagedPrefix) {
 			continue
 		}
 		if err := dir.Rename(dir.Join(name), target.Join(name)); err != nil {
-			return fault.Wrap(fault.Internal, err, "cannot set the data folder aside")
+			return fault.Wrap(fault.DiskRefused, err, "cannot set the data folder aside")
 		}
 	}
 	return nil
 }
 
-// openGroups opens all groups in the data folder, which it creates if necessary.
+// openGroups opens all groups in the data folder, which it creates if necessary. If it
+// fails, none is open.
 func (r *replicas) openGroups() error {
-	dir := r.node.dataFolder()
+	err := r.openEachGroup(r.node.dataFolder())
+	if err != nil {
+		for _, g := range r.groups {
+			g.writer.log.Close()
+		}
+		r.groups = nil
+	}
+	return err
+}
+
+// openEachGroup opens the groups in the folder one after another.
+func (r *replicas) openEachGroup(dir disk.Folder) error {
 	if err := dir.Create(); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot create the data folder")
+		return fault.Wrap(fault.DiskRefused, err, "cannot create the data folder")
 	}
 	if err := r.loadIdentity(dir); err != nil {
 		return err
@@ -130,6 +170,7 @@
 		}
 		g, err := openGroup(r, id, newLogWriter(r.wrapLog(w)), loaded, m)
 		if err != nil {
+			w.Close()
 			return err
 		}
 		r.groups = append(r.groups, g)
@@ -152,23 +193,25 @@
 // folder with groups but no identity is corrupt.
 func (r *replicas) loadIdentity(dir disk.Folder) error {
 	b, err := dir.ReadFile(dir.Join(identityFile))
-	if err == nil && len(b) == len(newID()) {
+	switch {
+	case err == nil && len(b) == len(newID()):
 		r.id = string(b)
 		return nil
-	}
-	if err == nil || !errors.Is(err, os.ErrNotExist) {
+	case err == nil:
 		return fault.New(fault.Corrupt, "the replica's identity is damaged")
+	case !errors.Is(err, os.ErrNotExist):
+		return fault.Wrap(fault.DiskRefused, err, "cannot read the replica's identity")
 	}
 	names, err := dir.Names()
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot read the data folder")
+		return fault.Wrap(fault.DiskRefused, err, "cannot read the data folder")
 	}
 	if slices.Contains(names, groupFolder(configGroup)) {
 		return fault.New(fault.Corrupt, "the replica's identity is missing")
 	}
 	r.id = newID()
 	if err := dir.ReplaceFile(identityFile, []byte(r.id)); err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot write the replica's identity")
+		return fault.Wrap(fault.DiskRefused, err, "cannot write the replica's identity")
 	}
 	return nil
 }
--- a/internal/wal/crash_test.go
+++ b/internal/wal/crash_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"testing"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/disk/disktest"
 	"github.com/umberthread/umberthread/raft"
 )
@@ -268,3 +270,60 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(got).To(gomega.Equal(killed))
 }
+
+// refusedCalls opens the log in turn with each call to the disk refused, until none is.
+func refusedCalls(t *testing.T, image *disktest.Disk) {
+	g := gomega.NewWithT(t)
+	_, want, err := OpenFolder(image.LoseUnsynced().Folder(crashFolder))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for refused, reached := 0, true; reached; refused++ {
+		d := image.LoseUnsynced()
+		calls := 0
+		d.Refuse(func(disktest.Call) error {
+			calls++
+			if calls == refused+1 {
+				return syscall.ENOSPC
+			}
+			return nil
+		})
+		_, _, err := OpenFolder(d.Folder(crashFolder))
+		reached = calls > refused
+		if reached {
+			g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.DiskRefused), "call %d: %v", refused, err)
+		}
+		d.Refuse(nil)
+		_, got, err := OpenFolder(d.Folder(crashFolder))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(got).To(gomega.Equal(want), "call %d", refused)
+	}
+}
+
+// TestRefusedCallsAreNoCorruption guards against taking a disk that is full, or refuses calls for
+// another reason, for one that lost data.
+func TestRefusedCallsAreNoCorruption(t *testing.T) {
+	for name, change := range map[string]func(g *gomega.WithT, d *disktest.Disk, w *WAL){
+		"sound": func(*gomega.WithT, *disktest.Disk, *WAL) {},
+		"incomplete record": func(g *gomega.WithT, d *disktest.Disk, w *WAL) {
+			_, err := w.logFile.Write([]byte{0, 0, 0, 50, 1, 2})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(w.logFile.Sync()).To(gomega.Succeed())
+		},
+		"snapshot newer than the log": func(g *gomega.WithT, d *disktest.Disk, w *WAL) {
+			const callsToReplaceSnapshot = 5
+			d.StopAfter(callsToReplaceSnapshot)
+			err := w.Reset(raft.Snapshot{Index: 9, Term: 2}, raft.HardState{Term: 2}, nil)
+			g.Expect(stopped(err)).To(gomega.BeTrue())
+			d.Resume()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			d := newCrashDisk()
+			w, _, err := OpenFolder(d.Folder(crashFolder))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(w.Reset(raft.Snapshot{Index: 1, Term: 1}, raft.HardState{Term: 1}, testEntries(2, 5, 1))).To(gomega.Succeed())
+			change(g, d, w)
+			refusedCalls(t, d)
+		})
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -4,7 +4,8 @@
 // A record is a length (4 bytes), a CRC-32C (4 bytes) and a msgpack payload. A separate file
 // stores the synced size of the log. An incomplete or corrupt record beyond the synced size was
 // never acknowledged and is dropped. Corruption below it means that the disk lost acknowledged
-// data: Open fails with fault.Corrupt, and the caller must treat the disk as lost.
+// data: Open fails with fault.Corrupt, and the caller must treat the disk as lost. A disk that
+// refuses a call is no such loss: the code is fault.DiskRefused, and another Open may succeed.
 package wal
 
 import (
@@ -84,10 +85,11 @@
 // OpenFolder opens or creates the directory and returns its contents.
 func OpenFolder(dir disk.Folder) (*WAL, Contents, error) {
 	if err := dir.Create(); err != nil {
-		return nil, Contents{}, fault.Wrap(fault.Internal, err, "cannot create the data directory")
+		return nil, Contents{}, fault.Wrap(fault.DiskRefused, err, "cannot create the data directory")
 	}
 	w := &WAL{dir: dir}
 	if err := w.load(); err != nil {
+		w.Close()
 		return nil, Contents{}, err
 	}
 	return w, w.contents, nil
@@ -100,16 +102,20 @@
 	}
 	var err error
 	if w.syncedFile, err = w.dir.OpenFile(w.path(syncedFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot open the file with the synced size")
+		return fault.Wrap(fault.DiskRefused, err, "cannot open the file with the synced size")
 	}
 	if w.logFile, err = w.dir.OpenFile(w.path(logFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot open the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot open the log")
 	}
 	validSize, err := w.replay()
 	if err != nil {
 		return err
 	}
-	if synced := w.readSyncedSize(); validSize < synced {
+	synced, err := w.readSyncedSize()
+	if err != nil {
+		return err
+	}
+	if validSize < synced {
 		return fault.Newf(fault.Corrupt, "the log is corrupt at byte %d, but %d bytes were synced", validSize, synced)
 	}
 	if err := w.dropCoveredEntries(); err != nil {
@@ -123,7 +129,7 @@
 	}
 	w.syncedVote = termVoteOf(w.contents.State)
 	if _, err := w.logFile.Seek(validSize, io.SeekStart); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot seek in the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot seek in the log")
 	}
 	return syncDir(w.dir)
 }
@@ -133,12 +139,12 @@
 func (w *WAL) truncateLog(size int64) error {
 	if size < w.logSize {
 		if err := w.logFile.Truncate(size); err != nil {
-			return fault.Wrap(fault.Internal, err, "cannot truncate the log")
+			return fault.Wrap(fault.DiskRefused, err, "cannot truncate the log")
 		}
 		w.logSize = size
 	}
 	if err := w.logFile.Sync(); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot sync the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot sync the log")
 	}
 	return nil
 }
@@ -153,7 +159,7 @@
 		return nil
 	}
 	if err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot read the snapshot")
+		return fault.Wrap(fault.DiskRefused, err, "cannot read the snapshot")
 	}
 	payload, n := nextRecord(data)
 	if n == 0 || n != len(data) || msgpack.Unmarshal(payload, &w.contents.Snapshot) != nil {
@@ -183,7 +189,7 @@
 func (w *WAL) replay() (int64, error) {
 	data, err := io.ReadAll(bufio.NewReader(w.logFile))
 	if err != nil {
-		return 0, fault.Wrap(fault.Corrupt, err, "cannot read the log")
+		return 0, fault.Wrap(fault.DiskRefused, err, "cannot read the log")
 	}
 	w.logSize = int64(len(data))
 	var validSize int64
@@ -256,33 +262,38 @@
 
 // readSyncedSize returns the synced size of the log, or 0 if the stored size is corrupt or
 // belongs to another log.
-func (w *WAL) readSyncedSize() int64 {
+func (w *WAL) readSyncedSize() (int64, error) {
 	var b [syncedFileBytes]byte
-	if _, err := w.syncedFile.ReadAt(b[:], 0); err != nil {
-		return 0
+	switch _, err := w.syncedFile.ReadAt(b[:], 0); {
+	case errors.Is(err, io.EOF):
+		return 0, nil
+	case err != nil:
+		return 0, fault.Wrap(fault.DiskRefused, err, "cannot read the synced size")
 	}
 	base, size, ok := decodeSyncedSize(b[:])
 	if !ok || base != w.baseIndex {
-		return 0
+		return 0, nil
 	}
-	return size
+	return size, nil
 }
 
 // writeSyncedSize stores the synced size of the log. It needs no sync: an outdated size only
 // makes Open accept the loss of more records.
 func (w *WAL) writeSyncedSize() error {
-	_, err := w.syncedFile.WriteAt(encodeSyncedSize(w.baseIndex, w.logSize), 0)
-	return err
+	if _, err := w.syncedFile.WriteAt(encodeSyncedSize(w.baseIndex, w.logSize), 0); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot write the synced size")
+	}
+	return nil
 }
 
 // forgetSyncedSize removes the synced size before a log is replaced by one that continues the
 // same snapshot. After a loss of power the size of the former log could exceed the new one's.
 func (w *WAL) forgetSyncedSize() error {
 	if err := w.syncedFile.Truncate(0); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot remove the synced size")
+		return fault.Wrap(fault.DiskRefused, err, "cannot remove the synced size")
 	}
 	if err := w.syncedFile.Sync(); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot remove the synced size")
+		return fault.Wrap(fault.DiskRefused, err, "cannot remove the synced size")
 	}
 	return nil
 }
@@ -392,10 +403,10 @@
 	_ = w.logFile.Close()
 	f, err := w.dir.OpenFile(w.path(logFileName), os.O_RDWR, 0o644)
 	if err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot open the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot open the log")
 	}
 	if _, err := f.Seek(size, io.SeekStart); err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot seek in the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot seek in the log")
 	}
 	w.logFile = f
 	w.logSize = size
@@ -408,8 +419,11 @@
 
 // Close closes the files without a sync.
 func (w *WAL) Close() {
-	_ = w.logFile.Close()
-	_ = w.syncedFile.Close()
+	for _, f := range []disk.File{w.logFile, w.syncedFile} {
+		if f != nil {
+			_ = f.Close()
+		}
+	}
 }
 
 // appendFrame appends the record of a payload to b.
@@ -422,7 +436,7 @@
 // replaceFile atomically replaces a file with synced contents.
 func replaceFile(dir disk.Folder, name string, data []byte) error {
 	if err := dir.ReplaceFile(name, data); err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot replace "+name)
+		return fault.Wrap(fault.DiskRefused, err, "cannot replace "+name)
 	}
 	return nil
 }
@@ -430,7 +444,7 @@
 // syncDir syncs a directory, which persists renames in it.
 func syncDir(dir disk.Folder) error {
 	if err := dir.Sync(); err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot sync the data directory")
+		return fault.Wrap(fault.DiskRefused, err, "cannot sync the data directory")
 	}
 	return nil
 }
