internal/node: make the groups' folders durable before they are used

A replica could come back after a loss of power with its identity and empty groups. It would then vote again in a term in which it had voted, and what it had confirmed was gone, without a word.

Cause: the identity was synced with the data folder before the groups' folders were created in it, and their names were never synced. Nor was the name of a data folder that the start created.

Evidence: TestFormedGroupsSurvivePowerLoss, in which nothing unsynced is kept, failed in both cases: in a folder that existed, group 0 had no member under the same identity; in one that the start created, the identity was gone too. TestFirstStartCutOffLeavesSoundFolder ends a first start at each call to the disk, by a kill or a loss of power, forms the groups at the next one and takes the power again; it failed at once. A first try synced only the data folder's own parent if the folder was there already; the test failed after a kill, as the parent's own name was lost.

A start now syncs the data folder once all groups are open, syncs the parents of what it creates, and the other parents, as far as it may, before it gives an identity.

--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -150,7 +151,7 @@
 
 // openEachGroup opens the groups in the folder one after another.
 func (r *replicas) openEachGroup(dir disk.Folder) error {
-	if err := dir.Create(); err != nil {
+	if err := createDataFolder(dir); err != nil {
 		return fault.Wrap(fault.DiskRefused, err, "cannot create the data folder")
 	}
 	if err := r.loadIdentity(dir); err != nil {
@@ -175,6 +176,32 @@
 		}
 		r.groups = append(r.groups, g)
 	}
+	// A group's folder that a loss of power takes away would leave the identity without
+	// the votes and entries that it gave.
+	if err := dir.Sync(); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot sync the data folder")
+	}
+	return nil
+}
+
+// createDataFolder creates the data folder and its parents if necessary, and makes the
+// names of those that it created durable.
+func createDataFolder(dir disk.Folder) error {
+	created := []string{}
+	for path := dir.Path; ; path = filepath.Dir(path) {
+		if _, err := dir.List(path); !errors.Is(err, os.ErrNotExist) {
+			break
+		}
+		created = append(created, path)
+	}
+	if err := dir.Create(); err != nil {
+		return err
+	}
+	for _, path := range created {
+		if err := dir.SyncFolder(filepath.Dir(path)); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -209,6 +236,11 @@
 	if slices.Contains(names, groupFolder(configGroup)) {
 		return fault.New(fault.Corrupt, "the replica's identity is missing")
 	}
+	// A start that was killed may have created the data folder and its parents without a
+	// sync. A folder that this process may not sync was made by somebody else.
+	for path := dir.Path; path != filepath.Dir(path); path = filepath.Dir(path) {
+		_ = dir.SyncFolder(filepath.Dir(path))
+	}
 	r.id = newID()
 	if err := dir.ReplaceFile(identityFile, []byte(r.id)); err != nil {
 		return fault.Wrap(fault.DiskRefused, err, "cannot write the replica's identity")
--- a/internal/node/replica_disk_test.go
+++ b/internal/node/replica_disk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,11 +18,17 @@
 
 const testDataFolder = "/srv/data"
 
-// openTestReplicas opens a data folder on a disk as a starting node does.
-func openTestReplicas(d *disktest.Disk, logger log.Logger) (*replicas, error) {
+// testOptions returns the options of a node that is not started.
+func testOptions() Options {
 	o := DefaultOptions()
 	o.Name, o.Domain = "a-1", "a"
 	o.HTTP, o.Data, o.Control, o.Admin = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"
+	return o
+}
+
+// openTestReplicas opens a data folder on a disk as a starting node does.
+func openTestReplicas(d *disktest.Disk, logger log.Logger) (*replicas, error) {
+	o := testOptions()
 	o.DataFolder, o.disk = testDataFolder, d
 	n, err := New(o, logger)
 	if err != nil {
@@ -123,3 +130,74 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(r.groups).To(gomega.HaveLen(r.node.opt.Shards + 1))
 }
+
+// newTestReplicas returns replicas whose data folder on a disk is not open yet.
+func newTestReplicas(g *gomega.WithT, d *disktest.Disk) *replicas {
+	n, err := New(testOptions(), log.NewNopLogger())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	n.opt.DataFolder, n.opt.disk = testDataFolder, d
+	n.replicas.node = n
+	return n.replicas
+}
+
+// Guards against an identity that outlives its groups: a replica would vote and confirm entries
+// again as if it had never done so. Nor may the whole folder be lost.
+func TestFormedGroupsSurvivePowerLoss(t *testing.T) {
+	for name, exists := range map[string]bool{"folder that the start created": false, "folder that existed": true} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			d := disktest.New()
+			if exists {
+				g.Expect(d.MkdirAll(testDataFolder)).To(gomega.Succeed())
+				g.Expect(d.SyncFolder("/")).To(gomega.Succeed())
+				g.Expect(d.SyncFolder("/srv")).To(gomega.Succeed())
+			}
+			first, err := openTestReplicas(d, log.NewNopLogger())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			formTestGroups(g, first)
+			d = d.LoseUnsynced()
+			second, err := openTestReplicas(d, log.NewNopLogger())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(second.id).To(gomega.Equal(first.id))
+			for _, group := range second.groups {
+				g.Expect(group.core.Conf().IsVoter(first.id)).To(gomega.BeTrue(), "group %d", group.id)
+			}
+			g.Expect(damagedFolders(g, d)).To(gomega.BeEmpty())
+		})
+	}
+}
+
+// Guards against a first start that was cut off, at any call to the disk, and leaves a folder
+// that counts as damaged, or an identity that the next loss of power takes away.
+func TestFirstStartCutOffLeavesSoundFolder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const mixes = 20
+	r := rand.New(rand.NewPCG(1, 1))
+	for stop, ended := 0, false; !ended; stop++ {
+		for mix := range mixes {
+			d := disktest.New()
+			d.StopAfter(stop)
+			first := newTestReplicas(g, d)
+			ended = first.openOrSetAside() == nil
+			if mix == 0 {
+				d.Resume()
+			} else {
+				d = d.PowerLoss(r)
+			}
+			second := newTestReplicas(g, d)
+			g.Expect(second.openOrSetAside()).To(gomega.Succeed())
+			if ended {
+				g.Expect(second.id).To(gomega.Equal(first.id))
+			}
+			formTestGroups(g, second)
+			d = d.PowerLoss(r)
+			third := newTestReplicas(g, d)
+			g.Expect(third.openOrSetAside()).To(gomega.Succeed())
+			g.Expect(third.id).To(gomega.Equal(second.id))
+			for _, group := range third.groups {
+				g.Expect(group.core.Conf().IsVoter(third.id)).To(gomega.BeTrue(), "call %d, group %d", stop, group.id)
+			}
+			g.Expect(damagedFolders(g, d)).To(gomega.BeEmpty(), "call %d", stop)
+		}
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -82,7 +82,8 @@
 	return OpenFolder(disk.Folder{FS: disk.OS{}, Path: dir})
 }
 
-// OpenFolder opens or creates the directory and returns its contents.
+// OpenFolder opens or creates the directory and returns its contents. The caller syncs the parent,
+// which makes the name of a new directory durable.
 func OpenFolder(dir disk.Folder) (*WAL, Contents, error) {
 	if err := dir.Create(); err != nil {
 		return nil, Contents{}, fault.Wrap(fault.DiskRefused, err, "cannot create the data directory")
