--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -14,6 +14,7 @@
 
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/internal/disk"
 	"github.com/umberthread/umberthread/internal/ring"
 	"github.com/umberthread/umberthread/internal/wal"
 	"github.com/umberthread/umberthread/raft"
@@ -26,6 +27,8 @@
 	configGroup = 0
 	// identityFile is the file in the data folder that holds the replica's identity.
 	identityFile = "identity"
+	// groupPrefix begins the names of the groups' subfolders.
+	groupPrefix = "group-"
 	// damagedPrefix begins the names of the subfolders to which damaged data is moved.
 	damagedPrefix = "lost-"
 	// sendQueueSize is how many messages are queued for one node.
@@ -55,58 +58,107 @@
 	msg   raft.Message
 }
 
-// openReplicas opens the replicas in the data folder. A damaged folder counts as a
-// lost disk: its contents are moved aside and the replica starts empty under a new
-// identity, because votes and entries of the old one may be lost.
+const (
+	// openRetryTime is how long a start waits for a disk that refuses calls. Then the
+	// process ends, and whoever runs it starts it again.
+	openRetryTime = 3 * time.Second
+	// minOpenRetryDelay and maxOpenRetryDelay bound the time between two tries, which
+	// doubles.
+	minOpenRetryDelay = 20 * time.Millisecond
+	maxOpenRetryDelay = 500 * time.Millisecond
+)
+
+// openReplicas opens the replicas in the data folder, and tries again for a while if
+// the disk refuses calls.
 func openReplicas(n *Node) (*replicas, error) {
 	r := &replicas{node: n, sendQueues: map[string]*ring.Queue[outgoingMessage]{}}
 	if n.opt.DataFolder == "" {
 		return r, nil
 	}
+	begun, delay := time.Now(), minOpenRetryDelay
+	err := r.openOrSetAside()
+	if fault.CodeOf(err) == fault.DiskRefused {
+		n.warn("replica", "The disk refuses calls; trying again to open the data folder.", "for", openRetryTime, "err", err)
+		n.recordEvent("replica", "The disk refuses calls: "+err.Error())
+	}
+	for fault.CodeOf(err) == fault.DiskRefused && time.Since(begun) < openRetryTime {
+		time.Sleep(delay)
+		delay = min(2*delay, maxOpenRetryDelay)
+		if err = r.openOrSetAside(); err == nil {
+			n.logEvent("replica", "The disk accepts calls again after "+time.Since(begun).Round(time.Millisecond).String()+".")
+		}
+	}
+	return r, err
+}
+
+// openOrSetAside opens the groups. A damaged folder counts as a lost disk: its contents
+// are moved aside and the replica starts empty under a new identity, because votes and
+// entries of the old one may be lost. A disk that refuses calls has lost nothing.
+func (r *replicas) openOrSetAside() error {
 	err := r.openGroups()
 	if fault.CodeOf(err) != fault.Corrupt {
-		return r, err
+		return err
+	}
+	r.node.logEvent("replica", "The data folder is damaged and set aside: "+err.Error())
+	if err := moveAside(r.node.dataFolder()); err != nil {
+		return err
 	}
-	n.logEvent("replica", "The data folder is damaged and set aside: "+err.Error())
-	if err := moveAside(n.opt.DataFolder); err != nil {
-		return nil, err
+	return r.openGroups()
+}
+
+// dataFolder returns the data folder.
+func (n *Node) dataFolder() disk.Folder {
+	f := disk.Folder{FS: n.opt.disk, Path: n.opt.DataFolder}
+	if f.FS == nil {
+		f.FS = disk.OS{}
 	}
-	r.groups = nil
-	return r, r.openGroups()
+	return f
 }
 
 // moveAside moves the contents of the folder into a new subfolder.
-func moveAside(dir string) error {
-	target := filepath.Join(dir, damagedPrefix+strconv.FormatInt(time.Now().UnixNano(), 36))
-	if err := os.Mkdir(target, 0o755); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot set the data folder aside")
+func moveAside(dir disk.Folder) error {
+	target := dir.Folder(damagedPrefix + strconv.FormatInt(time.Now().UnixNano(), 36))
+	if err := target.Create(); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot set the data folder aside")
 	}
-	items, err := os.ReadDir(dir)
+	names, err := dir.Names()
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot read the data folder")
+		return fault.Wrap(fault.DiskRefused, err, "cannot read the data folder")
 	}
-	for _, it := range items {
-		if strings.HasPrefix(it.Name(), damagedPrefix) {
+	for _, name := range names {
+		if strings.HasPrefix(name, damagedPrefix) {
 			continue
 		}
-		if err := os.Rename(filepath.Join(dir, it.Name()), filepath.Join(target, it.Name())); err != nil {
-			return fault.Wrap(fault.Internal, err, "cannot set the data folder aside")
+		if err := dir.Rename(dir.Join(name), target.Join(name)); err != nil {
+			return fault.Wrap(fault.DiskRefused, err, "cannot set the data folder aside")
 		}
 	}
 	return nil
 }
 
-// openGroups opens all groups in the data folder, which it creates if necessary.
+// openGroups opens all groups in the data folder, which it creates if necessary. If it
+// fails, none is open.
 func (r *replicas) openGroups() error {
-	dir := r.node.opt.DataFolder
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot create the data folder")
+	err := r.openEachGroup(r.node.dataFolder())
+	if err != nil {
+		for _, g := range r.groups {
+			g.writer.log.Close()
+		}
+		r.groups = nil
+	}
+	return err
+}
+
+// openEachGroup opens the groups in the folder one after another.
+func (r *replicas) openEachGroup(dir disk.Folder) error {
+	if err := createDataFolder(dir); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot create the data folder")
 	}
 	if err := r.loadIdentity(dir); err != nil {
 		return err
 	}
 	for id := 0; id <= r.node.opt.Shards; id++ {
-		w, loaded, err := wal.Open(filepath.Join(dir, "group-"+strconv.Itoa(id)))
+		w, loaded, err := wal.OpenFolder(dir.Folder(groupFolder(id)))
 		if err != nil {
 			return err
 		}
@@ -119,13 +171,43 @@
 		}
 		g, err := openGroup(r, id, newLogWriter(r.wrapLog(w)), loaded, m)
 		if err != nil {
+			w.Close()
 			return err
 		}
 		r.groups = append(r.groups, g)
 	}
+	// A group's folder that a loss of power takes away would leave the identity without
+	// the votes and entries that it gave.
+	if err := dir.Sync(); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot sync the data folder")
+	}
 	return nil
 }
 
+// createDataFolder creates the data folder and its parents if necessary, and makes the
+// names of those that it created durable.
+func createDataFolder(dir disk.Folder) error {
+	created := []string{}
+	for path := dir.Path; ; path = filepath.Dir(path) {
+		if _, err := dir.List(path); !errors.Is(err, os.ErrNotExist) {
+			break
+		}
+		created = append(created, path)
+	}
+	if err := dir.Create(); err != nil {
+		return err
+	}
+	for _, path := range created {
+		if err := dir.SyncFolder(filepath.Dir(path)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// groupFolder returns the name of a group's folder in the data folder.
+func groupFolder(id int) string { return groupPrefix + strconv.Itoa(id) }
+
 // wrapLog applies the test hook Options.wrapLog, if it is set.
 func (r *replicas) wrapLog(log replicaLog) replicaLog {
 	if r.node.opt.wrapLog == nil {
@@ -136,21 +218,34 @@
 
 // loadIdentity reads the replica's identity, or creates one in an empty folder. A
 // folder with groups but no identity is corrupt.
-func (r *replicas) loadIdentity(dir string) error {
-	path := filepath.Join(dir, identityFile)
-	b, err := os.ReadFile(path)
-	if err == nil && len(b) == len(newID()) {
+func (r *replicas) loadIdentity(dir disk.Folder) error {
+	b, err := dir.ReadFile(dir.Join(identityFile))
+	switch {
+	case err == nil && len(b) == len(newID()):
 		r.id = string(b)
 		return nil
-	}
-	if err == nil || !errors.Is(err, os.ErrNotExist) {
+	case err == nil:
 		return fault.New(fault.Corrupt, "the replica's identity is damaged")
+	case !errors.Is(err, os.ErrNotExist):
+		return fault.Wrap(fault.DiskRefused, err, "cannot read the replica's identity")
+	}
+	names, err := dir.Names()
+	if err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot read the data folder")
 	}
-	if _, err := os.Stat(filepath.Join(dir, "group-0")); err == nil {
+	if slices.Contains(names, groupFolder(configGroup)) {
 		return fault.New(fault.Corrupt, "the replica's identity is missing")
 	}
+	// A start that was killed may have created the data folder and its parents without a
+	// sync. A folder that this process may not sync was made by somebody else.
+	for path := dir.Path; path != filepath.Dir(path); path = filepath.Dir(path) {
+		_ = dir.SyncFolder(filepath.Dir(path))
+	}
 	r.id = newID()
-	return wal.WriteFileAtomic(dir, identityFile, []byte(r.id))
+	if err := dir.ReplaceFile(identityFile, []byte(r.id)); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot write the replica's identity")
+	}
+	return nil
 }
 
 const (
