Listeners: an accept that fails no longer ends the server

A node that ran out of file descriptors for a moment never accepted a control or data connection again: accept(2) returned EMFILE, the loops of the control server and of the wire server returned it, and "Stopped listening." was the only trace. Requests of callers and gossip packets went on, so the node looked healthy, yet no replica, link member or entry could reach it until its process restarted. net/http retries EMFILE and ENFILE, but not ENOMEM, ENOBUFS, EPROTO or ENETDOWN, which accept(2) may return as well; so the same held for the admin and platform listeners.

The first failure and the first success after it are logged.

--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -40,6 +40,12 @@
 // startNode starts a node on free ports, with options that change may modify, and closes it after
 // the test.
 func startNode(t testing.TB, domain string, bootstrap []string, change func(*Options)) *testNode {
+	t.Helper()
+	return startLoggingNode(t, log.NewNopLogger(), domain, bootstrap, change)
+}
+
+// startLoggingNode is startNode with a logger.
+func startLoggingNode(t testing.TB, logger log.Logger, domain string, bootstrap []string, change func(*Options)) *testNode {
 	t.Helper()
 	var err error
 	for range maxStartAttempts {
@@ -53,7 +59,7 @@
 			change(&o)
 		}
 		var n *Node
-		if n, err = New(o, log.NewNopLogger()); err != nil {
+		if n, err = New(o, logger); err != nil {
 			break
 		}
 		if err = n.Start(); err == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/internal/latency"
 	"github.com/umberthread/umberthread/internal/pathlevel"
+	"github.com/umberthread/umberthread/internal/sock"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/member"
 	"github.com/umberthread/umberthread/route"
@@ -231,14 +232,14 @@
 func (n *Node) listen() (*listeners, error) {
 	var lns listeners
 	for _, l := range []struct {
-		addr string
-		to   *net.Listener
-	}{{n.opt.HTTP, &lns.http}, {n.opt.Data, &lns.data}, {n.opt.Control, &lns.control}, {n.opt.Admin, &lns.admin}} {
+		part, addr string
+		to         *net.Listener
+	}{{"http", n.opt.HTTP, &lns.http}, {"data", n.opt.Data, &lns.data}, {"control", n.opt.Control, &lns.control}, {"admin", n.opt.Admin, &lns.admin}} {
 		ln, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			return nil, fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+l.addr)
 		}
-		*l.to = ln
+		*l.to = n.retryAccepts(l.part, ln)
 	}
 	ua, err := net.ResolveUDPAddr("udp", n.opt.Control)
 	if err != nil {
@@ -251,6 +252,13 @@
 	return &lns, nil
 }
 
+// retryAccepts returns a listener that outlives failed accepts, which it logs.
+func (n *Node) retryAccepts(part string, ln net.Listener) net.Listener {
+	return sock.NewRetryListener(ln,
+		func(err error) { n.warn(part, "Cannot accept connections; retrying.", "err", err) },
+		func() { n.info(part, "Accepts connections again.") })
+}
+
 // startTask runs a background task, for which Close and Stop wait. The task must end
 // once n.stop is closed. The first parameter, the task's name, is not used.
 func (n *Node) startTask(_ string, run func()) {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -1,4 +1,4 @@
-// Package sock inspects TCP connections without reading from them, and finds
+// Package sock inspects TCP connections without reading from them, accepts them, and finds
 // free ports for tests.
 package sock
 
