Gossip: a failed read of the UDP socket no longer ends the receipt of packets

After one error of the socket other than its close, the task that reads packets returned. The node still sent pings, served requests and answered control messages, but was deaf: the other members declared it dead, again and again, until its process restarted. Nothing was logged. The loop now goes on after a short pause and logs when reads begin to fail and when they succeed again.

The socket was also stored by the task itself, without synchronisation: the race detector reported it against Close, which left the socket open if it came first. It is now set before the task starts.

Before, TestPacketsAreReceivedAfterAReadError failed: no ping answered for 5 s after the error. After: 10 of 10 runs pass with the race detector. An error of a real socket was not provoked; the test sets a read deadline in the past.

--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -100,8 +101,7 @@
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // run owns the core. It handles packets, commands and ticks until the node stops.
-func (g *gossiper) run(udp *net.UDPConn) {
-	g.udp = udp
+func (g *gossiper) run() {
 	go g.readLoop()
 	g.node.startTask("sync", g.syncLoop)
 	g.node.startTask("fetch", g.fetchLoop)
@@ -168,14 +168,28 @@
 	_, _ = g.udp.WriteToUDP(b, addr)
 }
 
-// readLoop receives gossip packets until the socket is closed.
+// readRetryDelay is the pause after a failed read of the UDP socket.
+const readRetryDelay = 20 * time.Millisecond
+
+// readLoop receives gossip packets until the socket is closed. Other errors of the socket,
+// such as exhausted memory, are temporary; without packets, the other members would declare
+// this node dead.
 func (g *gossiper) readLoop() {
 	buf := make([]byte, maxDatagramBytes)
+	failing := false
 	for {
 		n, addr, err := g.udp.ReadFromUDP(buf)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if (err != nil) != failing {
+			failing = err != nil
+			g.logReads(err)
+		}
+		if failing {
+			time.Sleep(readRetryDelay)
+			continue
+		}
 		g.node.stats.controlBytesIn.Add(int64(n))
 		p, err := gossip.DecodePacket(buf[:n])
 		if err != nil {
@@ -187,6 +201,15 @@
 	}
 }
 
+// logReads logs that reads of the UDP socket fail, or succeed again if err is nil.
+func (g *gossiper) logReads(err error) {
+	if err != nil {
+		g.node.warn("gossip", "Cannot receive packets; retrying.", "err", err)
+		return
+	}
+	g.node.info("gossip", "Receives packets again.")
+}
+
 // memberAddr returns the control address of a member, or "".
 func (g *gossiper) memberAddr(id string) string {
 	for _, m := range g.node.view.Load().members {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,7 +199,8 @@
 	n.adminSrv = &http.Server{Handler: n.adminRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	n.httpSrv = &http.Server{Handler: n.callerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: connIdleTimeout, ConnContext: callers.ConnContext}
 	n.control = newControlServer(n)
-	n.startTask("gossip", func() { n.gossip.run(lns.udp) })
+	n.gossip.udp = lns.udp
+	n.startTask("gossip", n.gossip.run)
 	n.serveInBackground("control", func() error { return n.control.serve(lns.control) })
 	n.startTask("links", n.linkLoop)
 	n.startTask("upkeep", n.maintenanceLoop)
