Control: a call to a peer that does not read ends at its timeout

net/rpc writes a request on the goroutine of its caller, and the timeout of a call began after that. A request larger than the socket buffers to a node that was suspended or silently cut off therefore blocked until the connection broke, minutes later or never, as the kernel of a suspended machine keeps it open. net/rpc holds a lock meanwhile, so every later call to this address blocked as well, also without a timeout, in a task that then did nothing else: the sender of raft messages, the check of identities that repair depends on (it waits for all replicas), syncs, exchanges with another domain, reports to the ledger. A peer that came back at its address did not help, since the new process was never dialled.

The timeout now runs from the start of the call and closes the connection, which ends the write and all calls that wait behind it.

Before, TestCallEndsInTimeIfThePeerDoesNotRead (32 MiB to a listener that reads nothing, timeout 0.2 s) failed: no end within 5 s. After: 20 of 20 runs of the package pass with the race detector.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -285,23 +285,30 @@
 // whether the connection failed before the reply.
 func (p *Pool) callOn(c *pooledConn, addr, method string, args, reply any, timeout time.Duration) (closed bool, err error) {
 	defer p.release(c)
-	call := c.client.Go(ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
-	t := time.NewTimer(timeout)
+	expired := make(chan struct{})
+	// net/rpc writes the request on this goroutine. The write blocks while the peer reads
+	// nothing, until the connection is closed.
+	t := time.AfterFunc(timeout, func() {
+		p.discard(addr, c)
+		close(expired)
+	})
 	defer t.Stop()
+	call := c.client.Go(ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error == nil {
 			return false, nil
 		}
-		if _, ok := call.Error.(rpc.ServerError); !ok {
-			closed = true
-			p.discard(addr, c)
-		}
-		return closed, fault.Wrap(fault.PeerLost, call.Error, method+" at "+addr).WithUnknownExecution()
-	case <-t.C:
-		p.discard(addr, c)
+	case <-expired:
+	}
+	if !t.Stop() {
 		return false, fault.New(fault.PeerSilent, "no answer to "+method+" from "+addr).WithUnknownExecution()
 	}
+	if _, ok := call.Error.(rpc.ServerError); !ok {
+		closed = true
+		p.discard(addr, c)
+	}
+	return closed, fault.Wrap(fault.PeerLost, call.Error, method+" at "+addr).WithUnknownExecution()
 }
 
 // acquire returns a connection to addr, dialled if there is none; reused reports
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/fault"
 )
 
 // echo replies with the version in the request.
@@ -82,3 +84,25 @@
 	_, err := fetch(1)
 	g.Expect(err).To(gomega.HaveOccurred(), "call without a server")
 }
+
+// TestCallEndsInTimeIfThePeerDoesNotRead guards against calls that block for as long as a
+// suspended or silently cut-off peer keeps the connection open: a request larger than the
+// socket buffers blocks its sender, and with it all later calls to the peer.
+func TestCallEndsInTimeIfThePeerDoesNotRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = ln.Close() }()
+	var counter ByteCounter
+	pool := NewPool(&counter, DialTCP)
+	defer pool.Close()
+	const timeout = 200 * time.Millisecond
+	ended := make(chan error, 1)
+	go func() {
+		large := &SubmitRequest{Command: make([]byte, 32<<20)}
+		ended <- pool.Call(ln.Addr().String(), "Submit", large, &SubmitReply{}, timeout)
+	}()
+	g.Eventually(ended, "5s").Should(gomega.Receive(&err))
+	g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.PeerSilent))
+	g.Expect(fault.From(err).Execution).To(gomega.Equal(fault.ExecutionUnknown))
+}
