Replicas: forming the groups goes on where a failed attempt ended

The groups were formed in the order settings, then idempotency keys. If a write failed or power was lost in between, the settings group existed and the others did not. The next attempt, on the first start after 50 ms or by the operator, answered "this replica already belongs to a group", which the first start logs as "Formed the replica groups": no request with an idempotency key was ever served, and nothing could form the missing groups.

The settings group is now the last one, and an attempt passes over the groups of idempotency keys that this replica already belongs to. A full inbox or a stop of the node ends an attempt, which waited without limit before.

--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -307,16 +307,37 @@
 		return fault.New(fault.Conflict, "this replica already belongs to a group")
 	}
 	self := raft.Peer{ID: r.id, Addr: r.node.opt.AdvertiseControl, Domain: r.node.opt.Domain}
-	for _, g := range r.groups {
-		done := make(chan error, 1)
-		g.enqueue(func() { done <- g.formWithSelf(self) })
-		if err := <-done; err != nil {
+	// The settings group is the last one: while it is missing, a failed attempt is repeated.
+	for _, g := range slices.Backward(r.groups) {
+		if err := g.form(self); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// form creates the group with this replica as its only voter, and waits for it. It does nothing
+// if an earlier attempt has created a group of idempotency keys.
+func (g *group) form(self raft.Peer) error {
+	done := make(chan error, 1)
+	ok := g.enqueue(func() {
+		if conf := g.core.Conf(); g.id != configGroup && (conf.IsVoter(self.ID) || conf.IsLearner(self.ID)) {
+			done <- nil
+			return
+		}
+		done <- g.formWithSelf(self)
+	})
+	if !ok {
+		return fault.New(fault.Overload, "the replica's inbox is full")
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-g.replicas.node.stop:
+		return fault.New(fault.Draining, "the node is stopping")
+	}
+}
+
 // formWithSelf creates the group with this replica as its only voter.
 func (g *group) formWithSelf(self raft.Peer) error {
 	if len(g.core.Conf().Voters) > 0 {
