--- a/internal/node/form_test.go
+++ b/internal/node/form_test.go
@@ -2,27 +2,11 @@
 
 import (
 	"sync/atomic"
-	"syscall"
 	"testing"
 
 	"github.com/onsi/gomega"
-
-	"github.com/umberthread/umberthread/raft"
 )
 
-// refusingLog is a log whose resets fail while its disk is full.
-type refusingLog struct {
-	replicaLog
-	full *atomic.Bool
-}
-
-func (l *refusingLog) Reset(snap raft.Snapshot, st raft.HardState, entries []raft.Entry) error {
-	if l.full.Load() {
-		return syscall.ENOSPC
-	}
-	return l.replicaLog.Reset(snap, st, entries)
-}
-
 // TestAllGroupsAreFormedAfterAFailedAttempt guards against a fleet without a group for its
 // idempotency keys: an attempt that fails between two groups must not look complete.
 func TestAllGroupsAreFormedAfterAFailedAttempt(t *testing.T) {
