node test: send the same change again after a restart of all replicas

Seen once beside load 16 (TestSettingsPropagateAfterAllReplicasRestart): the answer was "conflict" until the end. Each try was a change of its own, so that a first one which was accepted without an answer in time made all others conflict. Operators send the same change again; now the test does, and asks for as much as before. Cause by reading; the run kept no logs.

--- a/internal/node/replica_restart_test.go
+++ b/internal/node/replica_restart_test.go
@@ -53,8 +53,10 @@
 		for i, r := range replicas {
 			replicas[i] = r.restart()
 		}
+		// The same change is sent again: one that got no answer may have been accepted.
+		change := "after-restart-" + formatUint(version+1)
 		g.Eventually(func() string {
-			_, r := replicas[0].proposeChange("", version, settings.Entries{"#deadline": formatUint(version+1) + "s"})
+			_, r := replicas[0].proposeChange(change, version, settings.Entries{"#deadline": formatUint(version+1) + "s"})
 			return r.Reason
 		}, 20*time.Second, 10*time.Millisecond).Should(gomega.Equal("none"))
 		version++
