Repair: promote no learner whose disk stalls

Operators saw a group of three that accepted no change although two of its three voters were sound: one voter was lost, and the disk of the learner that took its place had stopped confirming writes after the learner had caught up. As a fourth voter it raised the quorum to three of four, and neither it nor the lost voter could contribute. The group waited until that disk took writes again.

Cause: the promotion looked at the lag and at the last message. A learner with a stalled disk still answers heartbeats, and in a group with few commands it lacks hardly any entry. Only voters were checked for unconfirmed entries.

Now a learner must have confirmed an entry of the leader's term within 250 ms before its promotion. In an idle group the leader writes an entry that changes nothing, the membership as it is, which costs one decision interval.

The health of a member tells silence and unconfirmed entries apart, so that the pure decision weighs them and not the daemon.

--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -334,18 +335,21 @@
 	g.writer.jobs.Offer(writeJob{reset: &logReset{snapshot: snap, entries: g.core.EntriesAfterSnapshot()}})
 }
 
+// ticksToDuration converts ticks of the core; math.MaxInt ticks remain the longest duration.
+func ticksToDuration(ticks int) time.Duration {
+	return time.Duration(min(int64(ticks), math.MaxInt64/int64(raftTickInterval))) * raftTickInterval
+}
+
 // membershipState returns the input of the membership decision.
 func (g *group) membershipState() repair.GroupStatus {
 	conf := g.core.Conf()
 	health := map[string]repair.Health{}
 	for _, p := range append(append([]raft.Peer(nil), conf.Voters...), conf.Learners...) {
-		if ticks, lag, ok := g.core.PeerStatus(p.ID); ok {
-			if conf.IsVoter(p.ID) {
-				// A voter whose disk confirms nothing counts as unresponsive; a learner may
-				// be loading a large snapshot.
-				ticks = max(ticks, g.core.UnsavedTicks(p.ID))
+		if silent, lag, ok := g.core.PeerStatus(p.ID); ok {
+			health[p.ID] = repair.Health{
+				SilentFor: ticksToDuration(silent), UnsavedFor: ticksToDuration(g.core.UnsavedTicks(p.ID)),
+				SavedAgo: ticksToDuration(g.core.SavedTicks(p.ID)), Lag: lag,
 			}
-			health[p.ID] = repair.Health{SilentFor: time.Duration(ticks) * raftTickInterval, Lag: lag}
 		}
 	}
 	return repair.GroupStatus{Conf: conf, LeaderID: g.replicas.id, Health: health, Candidates: g.replicas.verifiedReplicas()}
--- a/raft/core.go
+++ b/raft/core.go
@@ -44,6 +44,10 @@
 	// unsavedTicks counts the ticks during which the replica lacked entries and confirmed
 	// none of them.
 	unsavedTicks int
+	// savedInTerm is set once the replica has confirmed an entry of the leader's term, and
+	// savedTicks counts the ticks since the last such confirmation.
+	savedInTerm bool
+	savedTicks  int
 	// snapshotWaitTicks counts down the ticks until a snapshot may be sent again.
 	snapshotWaitTicks int
 }
@@ -151,6 +155,16 @@
 	return 0
 }
 
+// SavedTicks returns the number of ticks since another replica last confirmed an entry of this
+// leader's term: entries that it had before say nothing about its disk now. It returns
+// math.MaxInt if there is no such confirmation or this replica is not the leader.
+func (c *Core) SavedTicks(id string) int {
+	if p := c.peers[id]; c.role == Leader && p != nil && p.savedInTerm {
+		return p.savedTicks
+	}
+	return math.MaxInt
+}
+
 // PeerStatus returns the ticks since the leader last heard from a replica and the number of
 // entries that the replica lacks; ok is false if this replica is not the leader or does not
 // know the other. The lag of a replica that has confirmed nothing is math.MaxUint64.
--- a/raft/election.go
+++ b/raft/election.go
@@ -20,6 +20,7 @@
 	for _, p := range c.peers {
 		p.silentTicks++
 		p.unsavedTicks++
+		p.savedTicks++
 		if p.matchIndex == c.log.lastIndex() {
 			p.unsavedTicks = 0
 		}
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -496,3 +497,20 @@
 		c.Tick()
 	}
 }
+
+// Entries that a replica had before this term say nothing about its disk now.
+func TestSavedTicksCountFromConfirmationsOfTheTerm(t *testing.T) {
+	conf := Conf{Voters: []Peer{{ID: "a"}}, Learners: []Peer{{ID: "b"}}}
+	o := Options{ID: "a", ElectionTicks: 10, HeartbeatTicks: 2, MaxBatchEntries: 4, Rand: rand.New(rand.NewPCG(1, 1))}
+	c := New(o, HardState{Term: 1, Commit: 1}, Snapshot{Index: 1, Term: 1, Conf: conf}, nil)
+	c.Campaign()
+	c.Step(Message{Type: MsgHeartbeatResp, From: "b", To: "a", Term: 2, Saved: 1})
+	if _, lag, _ := c.PeerStatus("b"); lag != 1 || c.SavedTicks("b") != math.MaxInt {
+		t.Fatalf("lag %d, saved %d ticks ago; expected 1, and no confirmation of the term", lag, c.SavedTicks("b"))
+	}
+	c.Step(Message{Type: MsgAppendResp, From: "b", To: "a", Term: 2, Index: 2})
+	c.Tick()
+	if got := c.SavedTicks("b"); got != 1 {
+		t.Fatalf("saved %d ticks ago, expected 1", got)
+	}
+}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -177,6 +177,9 @@
 	}
 	p.matchIndex = index
 	p.unsavedTicks = 0
+	if t, ok := c.log.term(index); ok && t == c.state.Term {
+		p.savedInTerm, p.savedTicks = true, 0
+	}
 	p.nextIndex = max(p.nextIndex, index+1)
 	c.advanceCommit()
 	c.requestTakeover()
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -15,12 +15,23 @@
 type Health struct {
 	// SilentFor is the time since the member was last heard from.
 	SilentFor time.Duration
+	// UnsavedFor is the time during which it lacked entries and confirmed none of them. A
+	// replica whose disk stalls is still heard.
+	UnsavedFor time.Duration
+	// SavedAgo is the time since it last confirmed an entry.
+	SavedAgo time.Duration
 	// Lag is the number of entries that it lacks.
 	Lag uint64
 }
 
-// isHealthy reports whether the member was heard recently and has nearly all entries.
-func (h Health) isHealthy(o Options) bool { return h.Lag <= o.MaxLag && h.SilentFor < o.SuspectAfter }
+// unresponsiveFor returns the time since the member was last heard from or its disk stalled.
+func (h Health) unresponsiveFor() time.Duration { return max(h.SilentFor, h.UnsavedFor) }
+
+// isHealthy reports whether the member was heard recently, its disk responds and it has nearly
+// all entries.
+func (h Health) isHealthy(o Options) bool {
+	return h.Lag <= o.MaxLag && h.unresponsiveFor() < o.SuspectAfter
+}
 
 // Options configures the repair.
 type Options struct {
@@ -125,13 +136,29 @@
 	return Plan{}, false
 }
 
-// promoteLearner plans the promotion of a healthy learner.
+// maxSavedAgo is the maximum age of the last entry that a learner confirmed when it is promoted. It
+// exceeds the interval between two decisions, so that a confirmed entry is seen in time.
+const maxSavedAgo = 250 * time.Millisecond
+
+// promoteLearner plans the promotion of a healthy learner that has confirmed an entry recently.
+// A learner whose disk stalls would add to the quorum and could not contribute to it, so that the
+// group commits nothing. In an idle group, an entry that changes nothing shows whether it does.
 func promoteLearner(g GroupStatus, o Options) (Plan, bool) {
+	probe := ""
 	for _, l := range g.Conf.Learners {
 		h, ok := g.Health[l.ID]
-		if ok && h.isHealthy(o) {
+		if !ok || !h.isHealthy(o) {
+			continue
+		}
+		if h.SavedAgo < maxSavedAgo {
 			return Plan{g.Conf.With(l, true), "promoted learner " + l.ID + " to voter: it has caught up"}, true
 		}
+		if h.Lag == 0 {
+			probe = l.ID
+		}
+	}
+	if probe != "" {
+		return Plan{g.Conf.Without(""), "wrote an entry to check the disk of learner " + probe}, true
 	}
 	return Plan{}, false
 }
@@ -143,7 +170,7 @@
 		if v.ID == g.LeaderID {
 			continue
 		}
-		if addressReused(g, v) || g.Health[v.ID].SilentFor >= after {
+		if addressReused(g, v) || g.Health[v.ID].unresponsiveFor() >= after {
 			return v, true
 		}
 	}
--- a/repair/repair_test.go
+++ b/repair/repair_test.go
@@ -97,3 +97,39 @@
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(p.Conf.Voters).To(gomega.ContainElement(other))
 }
+
+// learnerGroup returns a group that lost a voter and has a learner in its place, with the health
+// of that learner.
+func learnerGroup(h Health, candidates ...raft.Peer) GroupStatus {
+	a, b, c, d := testPeer("a", "x"), testPeer("b", "y"), testPeer("c", "z"), testPeer("d", "z")
+	return GroupStatus{
+		Conf: raft.Conf{Voters: []raft.Peer{a, b, c}, Learners: []raft.Peer{d}}, LeaderID: "a",
+		Health:     map[string]Health{"b": {}, "c": {SilentFor: 2 * time.Minute}, "d": h},
+		Candidates: append([]raft.Peer{a, b, d}, candidates...),
+	}
+}
+
+// A learner that has caught up may have a disk that stalls since. As a fourth voter beside a lost
+// one, it would stop a group of which two of three voters are sound.
+func TestLearnerWithStalledDiskIsNotPromoted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for name, h := range map[string]Health{
+		"lacks an entry":       {Lag: 1, UnsavedFor: testOptions.SuspectAfter},
+		"lacks a recent entry": {Lag: 1, UnsavedFor: time.Second, SavedAgo: time.Second},
+	} {
+		p, ok := NextChange(learnerGroup(h), testOptions)
+		g.Expect(ok).To(gomega.BeFalse(), "%s: %s", name, p.Reason)
+	}
+}
+
+// In an idle group a learner lacks nothing, whether its disk stalls or not.
+func TestDiskOfIdleLearnerIsCheckedBeforePromotion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := learnerGroup(Health{SavedAgo: time.Minute})
+	p, ok := NextChange(group, testOptions)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(p.Conf).To(gomega.Equal(group.Conf), "an entry that changes nothing")
+
+	p, _ = NextChange(learnerGroup(Health{SavedAgo: 100 * time.Millisecond}), testOptions)
+	g.Expect(p.Conf.IsVoter("d")).To(gomega.BeTrue())
+}
