Repair: an unresponsive learner no longer blocks other candidates

- One learner at a time was allowed.
A learner that is heard, but whose disk confirms nothing, kept that place for as long as it was heard.
- A learner that could not save its first term answers nothing, so it counted as lost and was removed, and was added again at once if its identity sorts before the other candidate's: it still confirms its identity.
This went on forever.

Now another learner is added beside one that is silent for SuspectAfter or has confirmed nothing for ReplaceAfter, and the first one that responds is promoted. Learners do not count for the quorum, and the rest are removed once all voters are healthy. A silent learner that still confirms its identity keeps its place: it would only be added again.

Weighed and left: dropping a stalled learner for another one needs a memory of those that failed, or two stalled replicas take turns and the sound third one never gets the place.

--- a/repair/repair.go
+++ b/repair/repair.go
@@ -41,7 +41,8 @@
 	// replacement.
 	SuspectAfter time.Duration
 	// ReplaceAfter is the silence of a voter after which a learner that has caught up
-	// replaces it.
+	// replaces it. A learner may take as long to load its snapshot before another one is added
+	// beside it.
 	ReplaceAfter time.Duration
 	// MaxLag is the maximum number of entries that a healthy member may lack.
 	MaxLag uint64
@@ -87,8 +88,9 @@
 
 // NextChange returns the next membership change, or false if none is needed.
 //
-// A learner does not affect the quorum, so it is added as soon as a voter is suspected. It is
-// promoted only once the voter counts as lost; a voter that returns earlier keeps its place.
+// A learner does not affect the quorum, so it is added as soon as a voter is suspected, and another
+// one beside a learner that does not respond. It is promoted only once the voter counts as lost; a
+// voter that returns earlier keeps its place.
 func NextChange(g GroupStatus, o Options) (Plan, bool) {
 	if p, ok := updateAddress(g); ok {
 		return p, true
@@ -106,7 +108,7 @@
 			return p, true
 		}
 	}
-	if len(g.Conf.Learners) == 0 && (len(g.Conf.Voters) < o.TargetVoters || len(g.Conf.Voters) == o.TargetVoters && hasSuspect) {
+	if !hasResponsiveLearner(g, o) && (len(g.Conf.Voters) < o.TargetVoters || len(g.Conf.Voters) == o.TargetVoters && hasSuspect) {
 		if c, ok := selectCandidate(g, suspect); ok {
 			return Plan{g.Conf.With(c, false), "added " + c.ID + " at " + c.Addr + " as a learner"}, true
 		}
@@ -163,6 +165,15 @@
 	return Plan{}, false
 }
 
+// hasResponsiveLearner reports whether a learner was heard recently and its disk confirms entries,
+// or may still do so: it needs time to load a snapshot.
+func hasResponsiveLearner(g GroupStatus, o Options) bool {
+	return slices.ContainsFunc(g.Conf.Learners, func(l raft.Peer) bool {
+		h := g.Health[l.ID]
+		return h.SilentFor < o.SuspectAfter && h.UnsavedFor < o.ReplaceAfter
+	})
+}
+
 // unresponsiveVoter returns a voter that has been silent for the given time, or whose disk is
 // lost because another identity responds at its address.
 func unresponsiveVoter(g GroupStatus, after time.Duration) (raft.Peer, bool) {
@@ -188,11 +199,12 @@
 }
 
 // removeLearner plans the removal of a learner that is lost, or that is no longer needed because
-// all voters are healthy.
+// all voters are healthy. A silent learner that still confirms its identity keeps its place: it
+// would only be added again.
 func removeLearner(g GroupStatus, o Options, voterSuspected bool) (Plan, bool) {
 	needed := voterSuspected || len(g.Conf.Voters) < o.TargetVoters
 	for _, l := range g.Conf.Learners {
-		if addressReused(g, l) || g.Health[l.ID].SilentFor >= o.ReplaceAfter {
+		if addressReused(g, l) || g.Health[l.ID].SilentFor >= o.ReplaceAfter && !slices.Contains(g.Candidates, l) {
 			return Plan{g.Conf.Without(l.ID), "removed learner " + l.ID + ": it is lost"}, true
 		}
 		if !needed && allVotersHealthy(g, o) {
--- a/repair/repair_test.go
+++ b/repair/repair_test.go
@@ -1,6 +1,7 @@
 package repair
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -133,3 +134,44 @@
 	p, _ = NextChange(learnerGroup(Health{SavedAgo: 100 * time.Millisecond}), testOptions)
 	g.Expect(p.Conf.IsVoter("d")).To(gomega.BeTrue())
 }
+
+// A learner that is silent or whose disk confirms nothing must not keep another replica from the
+// place of a lost voter. One that loads its snapshot is given time.
+func TestUnresponsiveLearnerDoesNotBlockOtherCandidates(t *testing.T) {
+	g := gomega.NewWithT(t)
+	other := testPeer("e", "w")
+	loading := Health{Lag: math.MaxUint64, UnsavedFor: testOptions.ReplaceAfter - time.Second, SavedAgo: time.Hour}
+	_, ok := NextChange(learnerGroup(loading, other), testOptions)
+	g.Expect(ok).To(gomega.BeFalse(), "a learner may need time to load its snapshot")
+
+	for name, h := range map[string]Health{
+		"stalled from the start": {Lag: math.MaxUint64, UnsavedFor: testOptions.ReplaceAfter, SavedAgo: time.Hour},
+		"stalled later":          {Lag: 2, UnsavedFor: testOptions.ReplaceAfter, SavedAgo: testOptions.ReplaceAfter},
+		"silent":                 {Lag: math.MaxUint64, SilentFor: testOptions.SuspectAfter, SavedAgo: time.Hour},
+	} {
+		p, ok := NextChange(learnerGroup(h, other), testOptions)
+		g.Expect(ok).To(gomega.BeTrue(), name)
+		g.Expect(p.Conf.IsLearner("e")).To(gomega.BeTrue(), "%s: %s", name, p.Reason)
+		g.Expect(p.Conf.IsLearner("d")).To(gomega.BeTrue(), "%s: it may respond again first", name)
+
+		group := learnerGroup(h, other)
+		group.Conf, group.Health["e"] = p.Conf, Health{}
+		p, _ = NextChange(group, testOptions)
+		g.Expect(p.Conf.IsVoter("e")).To(gomega.BeTrue(), "%s: %s", name, p.Reason)
+
+		_, ok = NextChange(learnerGroup(h), testOptions)
+		g.Expect(ok).To(gomega.BeFalse(), "%s: without another candidate it would only be added again", name)
+	}
+}
+
+// A learner that no longer confirms its identity at its address is removed.
+func TestLostLearnerIsRemoved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := learnerGroup(Health{Lag: math.MaxUint64, SilentFor: testOptions.ReplaceAfter})
+	moved := testPeer("d", "z")
+	moved.Addr = "at-d-now"
+	group.Candidates = append(group.Candidates[:2], moved)
+	p, ok := NextChange(group, testOptions)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(p.Conf.IsLearner("d")).To(gomega.BeFalse(), p.Reason)
+}
