Replicas: an address that does not answer delays no repair

Operators saw the repair of a lost replica take seconds longer while another address was dark: a machine without power refuses nothing, so the leader waits for the timeout.

Cause: the leader asked all known replicas for their identities at once, and used no answer before the last one had answered or its second was over. Meanwhile it knew of no successor at the lost voter's address, and of no new candidate. The addresses of the settings were asked one after another, 100 ms each.

Now each replica has its own second to answer, a round ends after 100 ms, and until then a replica's previous answer counts. A member that is slow to answer at its address for the first time is not taken for one that has moved.

--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -166,12 +166,14 @@
 // and the voters' addresses, where a replica may run that gossip does not know.
 func (r *replicas) verifyLoop() {
 	rounds := 0
+	check := newIdentityCheck(r.confirmsIdentity)
 	r.node.runEvery(urgentVerifyInterval, func(time.Time) {
 		rounds++
 		if !r.leadsAny() {
 			// Results from an earlier leadership are stale: they could move a member
 			// back to an address that it has left.
 			r.verifiedPeers.Store(nil)
+			check = newIdentityCheck(r.confirmsIdentity)
 			return
 		}
 		due := r.membershipChangeDue()
@@ -182,7 +184,7 @@
 		if due {
 			peers = append(peers[:len(peers):len(peers)], r.identifyReplicas(peers)...)
 		}
-		alive := r.confirmIdentities(peers)
+		alive := check.run(peers, urgentVerifyInterval)
 		r.verifiedPeers.Store(&alive)
 	})
 }
@@ -210,22 +212,40 @@
 			}
 		}
 	}
-	var out []raft.Peer
+	var (
+		wg  sync.WaitGroup
+		mu  sync.Mutex
+		out []raft.Peer
+	)
 	for _, addr := range addrs {
 		if asked[addr] {
 			continue
 		}
 		asked[addr] = true
-		var reply control.IdentityReply
-		err := r.node.control.pool.Call(addr, "Identity", &control.Empty{}, &reply, urgentVerifyInterval)
-		p := raft.Peer{ID: reply.ID, Addr: cmp.Or(reply.Addr, addr), Domain: reply.Domain}
-		if err == nil && reply.ID != "" && !slices.Contains(known, p) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			p, ok := r.identifyReplica(addr)
+			if !ok || slices.Contains(known, p) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
 			out = append(out, p)
-		}
+		}()
 	}
+	wg.Wait()
 	return out
 }
 
+// identifyReplica asks an address for its replica.
+func (r *replicas) identifyReplica(addr string) (raft.Peer, bool) {
+	var reply control.IdentityReply
+	err := r.node.control.pool.Call(addr, "Identity", &control.Empty{}, &reply, urgentVerifyInterval)
+	p := raft.Peer{ID: reply.ID, Addr: cmp.Or(reply.Addr, addr), Domain: reply.Domain}
+	return p, err == nil && reply.ID != ""
+}
+
 // leadsAny reports whether this node leads a group.
 func (r *replicas) leadsAny() bool {
 	for _, g := range r.groups {
@@ -236,28 +256,11 @@
 	return false
 }
 
-// confirmIdentities asks all given replicas in parallel and returns those that confirm
-// their identity.
-func (r *replicas) confirmIdentities(peers []raft.Peer) []raft.Peer {
-	confirmed := make([]bool, len(peers))
-	var wg sync.WaitGroup
-	for i, p := range peers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			var reply control.IdentityReply
-			err := r.node.control.pool.Call(p.Addr, "Identity", &control.Empty{}, &reply, stepTimeout)
-			confirmed[i] = err == nil && reply.ID == p.ID
-		}()
-	}
-	wg.Wait()
-	var out []raft.Peer
-	for i, p := range peers {
-		if confirmed[i] {
-			out = append(out, p)
-		}
-	}
-	return out
+// confirmsIdentity reports whether a replica confirms its identity at its address.
+func (r *replicas) confirmsIdentity(p raft.Peer) bool {
+	var reply control.IdentityReply
+	err := r.node.control.pool.Call(p.Addr, "Identity", &control.Empty{}, &reply, stepTimeout)
+	return err == nil && reply.ID == p.ID
 }
 
 // verifiedReplicas returns the replicas that recently confirmed their identity.
