--- a/repair/repair.go
+++ b/repair/repair.go
@@ -15,12 +15,23 @@
 type Health struct {
 	// SilentFor is the time since the member was last heard from.
 	SilentFor time.Duration
+	// UnsavedFor is the time during which it lacked entries and confirmed none of them. A
+	// replica whose disk stalls is still heard.
+	UnsavedFor time.Duration
+	// SavedAgo is the time since it last confirmed an entry.
+	SavedAgo time.Duration
 	// Lag is the number of entries that it lacks.
 	Lag uint64
 }
 
-// isHealthy reports whether the member was heard recently and has nearly all entries.
-func (h Health) isHealthy(o Options) bool { return h.Lag <= o.MaxLag && h.SilentFor < o.SuspectAfter }
+// unresponsiveFor returns the time since the member was last heard from or its disk stalled.
+func (h Health) unresponsiveFor() time.Duration { return max(h.SilentFor, h.UnsavedFor) }
+
+// isHealthy reports whether the member was heard recently, its disk responds and it has nearly
+// all entries.
+func (h Health) isHealthy(o Options) bool {
+	return h.Lag <= o.MaxLag && h.unresponsiveFor() < o.SuspectAfter
+}
 
 // Options configures the repair.
 type Options struct {
@@ -30,7 +41,8 @@
 	// replacement.
 	SuspectAfter time.Duration
 	// ReplaceAfter is the silence of a voter after which a learner that has caught up
-	// replaces it.
+	// replaces it. A learner may take as long to load its snapshot before another one is added
+	// beside it.
 	ReplaceAfter time.Duration
 	// MaxLag is the maximum number of entries that a healthy member may lack.
 	MaxLag uint64
@@ -76,8 +88,9 @@
 
 // NextChange returns the next membership change, or false if none is needed.
 //
-// A learner does not affect the quorum, so it is added as soon as a voter is suspected. It is
-// promoted only once the voter counts as lost; a voter that returns earlier keeps its place.
+// A learner does not affect the quorum, so it is added as soon as a voter is suspected, and another
+// one beside a learner that does not respond. It is promoted only once the voter counts as lost; a
+// voter that returns earlier keeps its place.
 func NextChange(g GroupStatus, o Options) (Plan, bool) {
 	if p, ok := updateAddress(g); ok {
 		return p, true
@@ -95,7 +108,7 @@
 			return p, true
 		}
 	}
-	if len(g.Conf.Learners) == 0 && (len(g.Conf.Voters) < o.TargetVoters || len(g.Conf.Voters) == o.TargetVoters && hasSuspect) {
+	if !hasResponsiveLearner(g, o) && (len(g.Conf.Voters) < o.TargetVoters || len(g.Conf.Voters) == o.TargetVoters && hasSuspect) {
 		if c, ok := selectCandidate(g, suspect); ok {
 			return Plan{g.Conf.With(c, false), "added " + c.ID + " at " + c.Addr + " as a learner"}, true
 		}
@@ -125,17 +138,42 @@
 	return Plan{}, false
 }
 
-// promoteLearner plans the promotion of a healthy learner.
+// maxSavedAgo is the maximum age of the last entry that a learner confirmed when it is promoted. It
+// exceeds the interval between two decisions, so that a confirmed entry is seen in time.
+const maxSavedAgo = 250 * time.Millisecond
+
+// promoteLearner plans the promotion of a healthy learner that has confirmed an entry recently.
+// A learner whose disk stalls would add to the quorum and could not contribute to it, so that the
+// group commits nothing. In an idle group, an entry that changes nothing shows whether it does.
 func promoteLearner(g GroupStatus, o Options) (Plan, bool) {
+	probe := ""
 	for _, l := range g.Conf.Learners {
 		h, ok := g.Health[l.ID]
-		if ok && h.isHealthy(o) {
+		if !ok || !h.isHealthy(o) {
+			continue
+		}
+		if h.SavedAgo < maxSavedAgo {
 			return Plan{g.Conf.With(l, true), "promoted learner " + l.ID + " to voter: it has caught up"}, true
 		}
+		if h.Lag == 0 {
+			probe = l.ID
+		}
+	}
+	if probe != "" {
+		return Plan{g.Conf.Without(""), "wrote an entry to check the disk of learner " + probe}, true
 	}
 	return Plan{}, false
 }
 
+// hasResponsiveLearner reports whether a learner was heard recently and its disk confirms entries,
+// or may still do so: it needs time to load a snapshot.
+func hasResponsiveLearner(g GroupStatus, o Options) bool {
+	return slices.ContainsFunc(g.Conf.Learners, func(l raft.Peer) bool {
+		h := g.Health[l.ID]
+		return h.SilentFor < o.SuspectAfter && h.UnsavedFor < o.ReplaceAfter
+	})
+}
+
 // unresponsiveVoter returns a voter that has been silent for the given time, or whose disk is
 // lost because another identity responds at its address.
 func unresponsiveVoter(g GroupStatus, after time.Duration) (raft.Peer, bool) {
@@ -143,7 +181,7 @@
 		if v.ID == g.LeaderID {
 			continue
 		}
-		if addressReused(g, v) || g.Health[v.ID].SilentFor >= after {
+		if addressReused(g, v) || g.Health[v.ID].unresponsiveFor() >= after {
 			return v, true
 		}
 	}
@@ -161,11 +199,12 @@
 }
 
 // removeLearner plans the removal of a learner that is lost, or that is no longer needed because
-// all voters are healthy.
+// all voters are healthy. A silent learner that still confirms its identity keeps its place: it
+// would only be added again.
 func removeLearner(g GroupStatus, o Options, voterSuspected bool) (Plan, bool) {
 	needed := voterSuspected || len(g.Conf.Voters) < o.TargetVoters
 	for _, l := range g.Conf.Learners {
-		if addressReused(g, l) || g.Health[l.ID].SilentFor >= o.ReplaceAfter {
+		if addressReused(g, l) || g.Health[l.ID].SilentFor >= o.ReplaceAfter && !slices.Contains(g.Candidates, l) {
 			return Plan{g.Conf.Without(l.ID), "removed learner " + l.ID + ": it is lost"}, true
 		}
 		if !needed && allVotersHealthy(g, o) {
--- a/repair/repair_test.go
+++ b/repair/repair_test.go
@@ -1,6 +1,7 @@
 package repair
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -97,3 +98,80 @@
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(p.Conf.Voters).To(gomega.ContainElement(other))
 }
+
+// learnerGroup returns a group that lost a voter and has a learner in its place, with the health
+// of that learner.
+func learnerGroup(h Health, candidates ...raft.Peer) GroupStatus {
+	a, b, c, d := testPeer("a", "x"), testPeer("b", "y"), testPeer("c", "z"), testPeer("d", "z")
+	return GroupStatus{
+		Conf: raft.Conf{Voters: []raft.Peer{a, b, c}, Learners: []raft.Peer{d}}, LeaderID: "a",
+		Health:     map[string]Health{"b": {}, "c": {SilentFor: 2 * time.Minute}, "d": h},
+		Candidates: append([]raft.Peer{a, b, d}, candidates...),
+	}
+}
+
+// A learner that has caught up may have a disk that stalls since. As a fourth voter beside a lost
+// one, it would stop a group of which two of three voters are sound.
+func TestLearnerWithStalledDiskIsNotPromoted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for name, h := range map[string]Health{
+		"lacks an entry":       {Lag: 1, UnsavedFor: testOptions.SuspectAfter},
+		"lacks a recent entry": {Lag: 1, UnsavedFor: time.Second, SavedAgo: time.Second},
+	} {
+		p, ok := NextChange(learnerGroup(h), testOptions)
+		g.Expect(ok).To(gomega.BeFalse(), "%s: %s", name, p.Reason)
+	}
+}
+
+// In an idle group a learner lacks nothing, whether its disk stalls or not.
+func TestDiskOfIdleLearnerIsCheckedBeforePromotion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := learnerGroup(Health{SavedAgo: time.Minute})
+	p, ok := NextChange(group, testOptions)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(p.Conf).To(gomega.Equal(group.Conf), "an entry that changes nothing")
+
+	p, _ = NextChange(learnerGroup(Health{SavedAgo: 100 * time.Millisecond}), testOptions)
+	g.Expect(p.Conf.IsVoter("d")).To(gomega.BeTrue())
+}
+
+// A learner that is silent or whose disk confirms nothing must not keep another replica from the
+// place of a lost voter. One that loads its snapshot is given time.
+func TestUnresponsiveLearnerDoesNotBlockOtherCandidates(t *testing.T) {
+	g := gomega.NewWithT(t)
+	other := testPeer("e", "w")
+	loading := Health{Lag: math.MaxUint64, UnsavedFor: testOptions.ReplaceAfter - time.Second, SavedAgo: time.Hour}
+	_, ok := NextChange(learnerGroup(loading, other), testOptions)
+	g.Expect(ok).To(gomega.BeFalse(), "a learner may need time to load its snapshot")
+
+	for name, h := range map[string]Health{
+		"stalled from the start": {Lag: math.MaxUint64, UnsavedFor: testOptions.ReplaceAfter, SavedAgo: time.Hour},
+		"stalled later":          {Lag: 2, UnsavedFor: testOptions.ReplaceAfter, SavedAgo: testOptions.ReplaceAfter},
+		"silent":                 {Lag: math.MaxUint64, SilentFor: testOptions.SuspectAfter, SavedAgo: time.Hour},
+	} {
+		p, ok := NextChange(learnerGroup(h, other), testOptions)
+		g.Expect(ok).To(gomega.BeTrue(), name)
+		g.Expect(p.Conf.IsLearner("e")).To(gomega.BeTrue(), "%s: %s", name, p.Reason)
+		g.Expect(p.Conf.IsLearner("d")).To(gomega.BeTrue(), "%s: it may respond again first", name)
+
+		group := learnerGroup(h, other)
+		group.Conf, group.Health["e"] = p.Conf, Health{}
+		p, _ = NextChange(group, testOptions)
+		g.Expect(p.Conf.IsVoter("e")).To(gomega.BeTrue(), "%s: %s", name, p.Reason)
+
+		_, ok = NextChange(learnerGroup(h), testOptions)
+		g.Expect(ok).To(gomega.BeFalse(), "%s: without another candidate it would only be added again", name)
+	}
+}
+
+// A learner that no longer confirms its identity at its address is removed.
+func TestLostLearnerIsRemoved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := learnerGroup(Health{Lag: math.MaxUint64, SilentFor: testOptions.ReplaceAfter})
+	moved := testPeer("d", "z")
+	moved.Addr = "at-d-now"
+	group.Candidates = append(group.Candidates[:2], moved)
+	p, ok := NextChange(group, testOptions)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(p.Conf.IsLearner("d")).To(gomega.BeFalse(), p.Reason)
+}
