Replicas tell who leads, since when nobody does and whom they miss

A group without a leader left no trace: operators saw refused documents, umberctl replicas show listed only groups with a leader (an empty table in an outage), and no line told which voters a replica had lost. The record of an outage did not tell which membership the replicas had, nor whether they heard each other.

The status of each group has the identity of the leader, the term, for how long the replica has known no leader, and the voters that it misses: as the leader by the silence that the core tracks, without a leader by those that have sent nothing since. For that the core counts the ticks since the last message of each member; decisions do not use it. Voters without a leader hear each other's pre-votes, so that a voter that stays silent is lost, cut off, stopped or has a stalled disk.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -147,10 +147,19 @@
 
 // GroupStatus is the state of one replica group as seen by one replica.
 type GroupStatus struct {
-	Group   int    `json:"group"`
-	Leads   bool   `json:"leads"`
-	Leader  string `json:"leader,omitempty"`
-	Applied uint64 `json:"applied"`
+	Group int  `json:"group"`
+	Leads bool `json:"leads"`
+	// Leader is the address of the known leader and LeaderID its identity. Term grows with
+	// each election.
+	Leader   string `json:"leader,omitempty"`
+	LeaderID string `json:"leader_id,omitempty"`
+	Term     uint64 `json:"term"`
+	// LeaderlessMs is how long this replica, a member of the group, has known no leader, in
+	// milliseconds. SilentVoters are the voters from which it has not heard for
+	// SuspectAfter as the leader, or since it knows none.
+	LeaderlessMs int64         `json:"leaderless_ms,omitempty"`
+	SilentVoters []SilentVoter `json:"silent_voters,omitempty"`
+	Applied      uint64        `json:"applied"`
 	// ToleratesFailure reports, on the leader, whether the group can still commit if
 	// one more replica fails. RepairMs is how long it last could not, in milliseconds.
 	ToleratesFailure bool  `json:"bears_loss"`
@@ -224,6 +233,13 @@
 		gs.ToleratesFailure = gs.Leads && g.toleratesFailure.Load()
 		gs.SavingMs = time.Duration(g.saveTime.Load()).Milliseconds()
 		gs.Stalled = g.stalled.Load()
+		gs.Term, gs.LeaderlessMs = g.term.Load(), time.Duration(g.leaderlessFor.Load()).Milliseconds()
+		if id := g.leaderID.Load(); id != nil {
+			gs.LeaderID = *id
+		}
+		if silent := g.silentVoters.Load(); silent != nil {
+			gs.SilentVoters = *silent
+		}
 		gs.RepairMs = time.Duration(g.lastRepairTime.Load()).Milliseconds()
 		if conf := g.conf.Load(); conf != nil {
 			for _, p := range conf.Voters {
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -63,6 +63,8 @@
 	compacting bool
 	// stall records which disks are stalled.
 	stall diskStalls
+	// leaderWatch tracks how long no leader has been known.
+	leaderWatch leaderWatch
 
 	leaderAddr atomic.Pointer[string]
 	leads      atomic.Bool
@@ -81,6 +83,12 @@
 	// reports, on the leader, whether too few disks respond for a quorum.
 	saveTime atomic.Int64
 	stalled  atomic.Bool
+	// term and leaderID are those of the core. leaderlessFor is how long this replica has
+	// known no leader, in nanoseconds, and silentVoters are the voters that it misses.
+	term          atomic.Uint64
+	leaderID      atomic.Pointer[string]
+	leaderlessFor atomic.Int64
+	silentVoters  atomic.Pointer[[]SilentVoter]
 }
 
 // pendingProposal is a proposed command that awaits its result. done is closed
@@ -146,6 +154,7 @@
 	g.core.Tick()
 	g.ticks++
 	g.checkDiskStalls()
+	g.checkLeader()
 	if g.core.Role() != raft.Leader {
 		g.settled.Store(true)
 		g.vulnerableSince = time.Time{}
@@ -280,8 +289,11 @@
 	g.leads.Store(g.core.Role() == raft.Leader)
 	conf := g.core.Conf()
 	g.conf.Store(&conf)
-	addr := g.replicas.memberAddr(conf, g.core.Leader())
+	leader := g.core.Leader()
+	addr := g.replicas.memberAddr(conf, leader)
 	g.leaderAddr.Store(&addr)
+	g.leaderID.Store(&leader)
+	g.term.Store(g.core.Term())
 	if role := g.core.Role(); role != g.role {
 		if role == raft.Leader || g.role == raft.Leader {
 			g.replicas.node.logEvent("replica", "Group "+formatUint(uint64(g.id))+": this replica is "+role.String()+" in term "+formatUint(g.core.Term())+".")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -470,6 +470,12 @@
 	n.recordEvent(part, text)
 }
 
+// warnEvent logs an event at level warn and keeps it for umberctl events.
+func (n *Node) warnEvent(part, text string, kv ...any) {
+	n.warn(part, text, kv...)
+	n.recordEvent(part, text)
+}
+
 // recordEvent keeps an event for umberctl events.
 func (n *Node) recordEvent(part, text string) {
 	n.events.add(Event{Time: time.Now(), Node: n.opt.Name, Domain: n.opt.Domain, Part: part, Text: text})
--- a/raft/core.go
+++ b/raft/core.go
@@ -68,6 +68,10 @@
 	confIndex uint64
 	leaderID  string
 
+	// ticks counts all ticks, and lastHeard is its value at the last message of each member.
+	ticks     int
+	lastHeard map[string]int
+
 	// electionElapsed counts the ticks since the election timer was reset; on a leader, since
 	// the last quorum check.
 	electionElapsed  int
@@ -103,7 +107,7 @@
 // New returns a replica restored from its persisted state, snapshot and the entries after
 // the snapshot. A new replica has none of them and waits for a leader to add it to a group.
 func New(o Options, st HardState, snap Snapshot, entries []Entry) *Core {
-	c := &Core{options: o, state: st, savedState: st}
+	c := &Core{options: o, state: st, savedState: st, lastHeard: map[string]int{}}
 	c.log = raftLog{snapshot: snap, entries: entries, commitIndex: max(st.Commit, snap.Index), appliedIndex: snap.Index}
 	c.log.stableIndex = c.log.lastIndex()
 	c.log.commitIndex = min(c.log.commitIndex, c.log.lastIndex())
@@ -165,6 +169,11 @@
 	return peer.silentTicks, c.log.lastIndex() - peer.matchIndex, true
 }
 
+// TicksSinceHeard returns the ticks since the last message of another replica, or since the
+// start of this one if there was none. Followers hear nothing of each other while a leader
+// is known.
+func (c *Core) TicksSinceHeard(id string) int { return c.ticks - c.lastHeard[id] }
+
 // Campaign starts an election immediately, for tests and groups of one replica.
 func (c *Core) Campaign() { c.preCampaign() }
 
--- a/raft/election.go
+++ b/raft/election.go
@@ -2,6 +2,7 @@
 
 // Tick advances the replica's logical clock by one tick.
 func (c *Core) Tick() {
+	c.ticks++
 	c.electionElapsed++
 	if c.saving {
 		c.saveTicks++
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -7,6 +7,7 @@
 	if m.To != c.options.ID {
 		return
 	}
+	c.recordHeard(m.From)
 	switch m.Type {
 	case MsgPreVote:
 		if !c.hasActiveLeader() {
@@ -35,6 +36,14 @@
 	c.stepCurrentTerm(m)
 }
 
+// recordHeard records a message of another replica. Only members are recorded, which bounds
+// the map.
+func (c *Core) recordHeard(id string) {
+	if c.conf.IsVoter(id) || c.conf.IsLearner(id) {
+		c.lastHeard[id] = c.ticks
+	}
+}
+
 // rejectStaleLeader informs a leader of an earlier term of the current one.
 func (c *Core) rejectStaleLeader(m Message) {
 	switch m.Type {
