Nodes tell that their settings may be outdated, since when and why

A node that may lack newer settings answers 503 in place of 401, 403 and 404, but neither its log nor its status told that, nor why: which failure domain is cut off, which version it had heard of, for how long it had heard of nobody. The record of an outage did not tell by which settings a node served, and for how long.

settingsCurrent now derives from settingsDoubt, which returns the cause; the decision is the same, with the same order of checks. A doubt that lasts for a second is logged with its reason, and its end once the settings have been current for a second, so that a lost packet or a version on its way is no line. Keys that expire without confirmation (key_trust) count as a doubt here; requests are judged as before.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -83,6 +83,14 @@
 	// of it, in milliseconds.
 	HeardVersion      uint64 `json:"config_heard_version"`
 	ActivationDelayMs int64  `json:"config_late_ms"`
+	// ConfigConfirmedMs is how long ago a quorum of replicas confirmed that the version in
+	// force, or an older one, was the newest, in milliseconds, -1 for never. Nodes ask for it
+	// to read the current settings, and all the time with Options.KeyTrust.
+	ConfigConfirmedMs int64 `json:"config_confirmed_ms"`
+	// ConfigDoubtMs is for how long the version in force may have been outdated, in
+	// milliseconds, and ConfigDoubt why; 0 and "" if it is current as far as the node knows.
+	ConfigDoubtMs int64  `json:"config_doubt_ms"`
+	ConfigDoubt   string `json:"config_doubt,omitempty"`
 	// Replicas is the number of replicas that the node knows.
 	Replicas int `json:"replicas_known"`
 	// UnresponsiveAddresses is the number of unresponsive addresses that the node still probes.
@@ -184,6 +192,12 @@
 		SilentConnections: n.peers.silentConnections(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.droppedCounts(),
 		Quarantined: n.quarantine.status(),
 	}
+	s.ConfigConfirmedMs = -1
+	if age, ok := n.confirmationAge(); ok {
+		s.ConfigConfirmedMs = age.Milliseconds()
+	}
+	doubt, reason := n.settingsDoubtStatus()
+	s.ConfigDoubtMs, s.ConfigDoubt = doubt.Milliseconds(), reason
 	c := &n.control.counter
 	s.Control = ControlBytes{n.stats.controlBytesIn.Load() + c.In.Load(), n.stats.controlBytesOut.Load() + c.Out.Load()}
 	for name, d := range v.domains {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,6 +109,7 @@
 	replicas *replicas
 	quotas   *quotas
 	pauses   pauseDetector
+	doubts   doubtTracker
 	// startupWaiters counts the requests that wait while the node finds the instances.
 	startupWaiters atomic.Int64
 
@@ -285,10 +286,12 @@
 	}
 }
 
-// maintenanceLoop expires leases, tracks overloads and prunes the quarantine.
+// maintenanceLoop expires leases, tracks overloads and the age of the settings, and prunes the
+// quarantine.
 func (n *Node) maintenanceLoop() {
 	n.runEvery(maintenanceInterval, func(now time.Time) {
 		n.pauses.tick(n.clock(), now)
+		n.trackSettingsDoubt(n.clock())
 		n.expireLease(now)
 		n.serverReports.expire(n.clock())
 		n.trackOverload(now)
--- /dev/null
+++ b/internal/node/settings_doubt.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// doubtCause is why the settings of a node may be outdated.
+type doubtCause uint8
+
+const (
+	// noDoubt means that the settings are the current ones as far as the node can know.
+	noDoubt doubtCause = iota
+	// noSettings means that the node has no settings yet.
+	noSettings
+	// newerVersionHeard means that a newer version exists.
+	newerVersionHeard
+	// recentlyPaused means that the process did not run until shortly before.
+	recentlyPaused
+	// noContact means that no other node was heard within contactTimeout.
+	noContact
+	// domainCutOff means that no link member reaches another failure domain.
+	domainCutOff
+	// unconfirmed means that no quorum has confirmed the settings for Options.KeyTrust. It
+	// concerns requests that need a key.
+	unconfirmed
+)
+
+// settingsDoubt is why the settings of a node may be outdated, with what it depends on.
+type settingsDoubt struct {
+	cause doubtCause
+	// heard is the newer version.
+	heard uint64
+	// silence is the time since the last contact or confirmation.
+	silence time.Duration
+	// domain is the domain that is cut off.
+	domain string
+}
+
+// String returns the reason for operators.
+func (d settingsDoubt) String() string {
+	switch d.cause {
+	case noSettings:
+		return "no settings were received yet"
+	case newerVersionHeard:
+		return "version " + formatUint(d.heard) + " exists"
+	case recentlyPaused:
+		return "the process was paused"
+	case noContact:
+		return "no other node was heard for " + d.silence.Round(100*time.Millisecond).String()
+	case domainCutOff:
+		return "failure domain " + d.domain + " is cut off"
+	case unconfirmed:
+		return "no quorum of replicas has confirmed them in time"
+	}
+	return ""
+}
+
+// settingsDoubtHysteresis is how long the settings must count as possibly outdated, and as
+// current afterwards, before that is logged: a lost packet is no news for operators.
+const settingsDoubtHysteresis = time.Second
+
+// doubtReport is what a node has to log of its doubt.
+type doubtReport uint8
+
+const (
+	// doubtUnchanged means that nothing is to be logged.
+	doubtUnchanged doubtReport = iota
+	// doubtBegan means that the settings have been in doubt for settingsDoubtHysteresis.
+	doubtBegan
+	// doubtEnded means that they have been current again for that time.
+	doubtEnded
+)
+
+// doubtWatch tracks how long the settings may have been outdated. Times are on the node's
+// clock.
+type doubtWatch struct {
+	// doubted is set in a period of doubt, which began at since. calm is set while the
+	// settings have been current since calmSince, but not for long enough to end it.
+	doubted, calm    bool
+	since, calmSince time.Duration
+	// logged is set once the period has been reported.
+	logged bool
+}
+
+// observe records whether the settings are in doubt. It returns what to log and how long the
+// doubt has lasted; the time is 0 while there is none.
+func (w *doubtWatch) observe(now time.Duration, inDoubt bool) (r doubtReport, lasted time.Duration) {
+	switch {
+	case inDoubt && !w.doubted:
+		*w = doubtWatch{doubted: true, since: now}
+		return doubtUnchanged, 0
+	case inDoubt:
+		w.calm = false
+		lasted = now - w.since
+		if w.logged || lasted < settingsDoubtHysteresis {
+			return doubtUnchanged, lasted
+		}
+		w.logged = true
+		return doubtBegan, lasted
+	case !w.logged:
+		*w = doubtWatch{}
+	case !w.calm:
+		w.calm, w.calmSince = true, now
+	case now-w.calmSince >= settingsDoubtHysteresis:
+		lasted = w.calmSince - w.since
+		*w = doubtWatch{}
+		return doubtEnded, lasted
+	}
+	return doubtUnchanged, 0
+}
+
+// doubtStatus is the doubt of a node as its status shows it.
+type doubtStatus struct {
+	settingsDoubt
+	since time.Duration
+}
+
+// doubtTracker publishes and logs whether the settings in force may be outdated. The
+// maintenance task owns watch.
+type doubtTracker struct {
+	watch  doubtWatch
+	status atomic.Pointer[doubtStatus]
+}
+
+// trackSettingsDoubt publishes whether the settings in force may be outdated, and logs when
+// that begins and ends.
+func (n *Node) trackSettingsDoubt(now time.Duration) {
+	conf := n.conf.Load()
+	doubt := n.settingsDoubt(conf)
+	if doubt.cause == noDoubt && !n.quotas.keysTrusted(now) {
+		doubt.cause = unconfirmed
+	}
+	report, lasted := n.doubts.watch.observe(now, doubt.cause != noDoubt)
+	if doubt.cause == noDoubt {
+		n.doubts.status.Store(nil)
+	} else {
+		n.doubts.status.Store(&doubtStatus{doubt, n.doubts.watch.since})
+	}
+	switch report {
+	case doubtBegan:
+		n.warnEvent("config", "Serving by settings that may be outdated: "+doubt.String()+".", "version", conf.version, "since_ms", lasted.Milliseconds())
+	case doubtEnded:
+		n.logEvent("config", "The settings in force are current again after "+lasted.Round(time.Millisecond).String()+".")
+	}
+}
+
+// settingsDoubtStatus returns for how long the settings in force may have been outdated and
+// why, 0 and "" if they are current.
+func (n *Node) settingsDoubtStatus() (lasted time.Duration, reason string) {
+	s := n.doubts.status.Load()
+	if s == nil {
+		return 0, ""
+	}
+	return max(n.clock()-s.since, time.Millisecond), s.String()
+}
+
+// confirmationAge returns how long ago a quorum of replicas confirmed that the version in
+// force, or an older one, was the newest; ok is false if that was never the case.
+func (n *Node) confirmationAge() (age time.Duration, ok bool) {
+	at := max(time.Duration(n.quotas.confirmedAt.Load()), n.versions.confirmation())
+	return n.clock() - at, at > 0
+}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -156,7 +156,7 @@
 
 // readCurrentConfig returns the current settings, confirmed by a quorum.
 func (n *Node) readCurrentConfig(wait time.Duration) (*control.ReadReply, *fault.Error) {
-	have := n.conf.Load()
+	have, began := n.conf.Load(), n.clock()
 	ask := func(addr string, wait time.Duration) replicaResponse {
 		reply, err := n.readConfigFrom(addr, have.version, wait)
 		return replicaResponse{addr: addr, err: err, code: reply.Code, detail: reply.Detail, leader: reply.Leader, reply: reply}
@@ -172,6 +172,7 @@
 	if found == nil {
 		return nil, fault.New(fault.NoQuorum, "no quorum confirmed the read: "+reason)
 	}
+	n.versions.confirm(began, found.Version, n.conf.Load().version)
 	if found.Version == have.version {
 		found.Entries = have.entries
 	}
--- a/internal/node/version_tracker.go
+++ b/internal/node/version_tracker.go
@@ -38,6 +38,9 @@
 	// lastDelay is how long the latest version took to become active after the node
 	// learned that one was missing.
 	lastDelay time.Duration
+	// confirmedAt is the latest time at which a quorum confirmed to this node that a version
+	// that it has was the newest, 0 for never.
+	confirmedAt time.Duration
 	// replicaKnown reports whether a replica is known, and replicaLostAt is when the
 	// last known one was lost.
 	replicaKnown  bool
@@ -85,6 +88,25 @@
 	return t.lastDelay
 }
 
+// confirm records that a quorum confirmed at a time that a version was the newest, if the
+// active version is that one or newer.
+func (t *versionTracker) confirm(at time.Duration, version, active uint64) {
+	if version > active {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmedAt = max(t.confirmedAt, at)
+}
+
+// confirmation returns when a quorum last confirmed the active version or an older one as the
+// newest, 0 for never.
+func (t *versionTracker) confirmation() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.confirmedAt
+}
+
 // observeReplicas records whether a replica is known. It reports whether that
 // changed and, if one is known again, for how long none was.
 func (t *versionTracker) observeReplicas(now time.Duration, known bool) (changed bool, after time.Duration) {
--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -128,22 +128,30 @@
 // settingsCurrent reports whether the settings of this node are the current ones as far as it
 // can know: it has some, no newer version was heard of, other nodes were heard recently, no failure domain
 // is cut off, and the process has not just been paused.
-func (n *Node) settingsCurrent(conf *config) bool {
-	if conf.version == 0 || n.gossip.highestVersion.Load() > conf.version || n.pauses.recent(n.clock()) {
-		return false
-	}
-	if len(n.bootstrap()) == 0 {
-		return true
-	}
-	if n.clock()-n.gossip.lastContact() > contactTimeout {
-		return false
-	}
-	for _, d := range n.view.Load().domains {
+func (n *Node) settingsCurrent(conf *config) bool { return n.settingsDoubt(conf).cause == noDoubt }
+
+// settingsDoubt returns why the settings of this node may be outdated, if they may.
+func (n *Node) settingsDoubt(conf *config) settingsDoubt {
+	now, heard := n.clock(), n.gossip.highestVersion.Load()
+	switch {
+	case conf.version == 0:
+		return settingsDoubt{cause: noSettings}
+	case heard > conf.version:
+		return settingsDoubt{cause: newerVersionHeard, heard: heard}
+	case n.pauses.recent(now):
+		return settingsDoubt{cause: recentlyPaused}
+	case len(n.bootstrap()) == 0:
+		return settingsDoubt{}
+	}
+	if silence := now - n.gossip.lastContact(); silence > contactTimeout {
+		return settingsDoubt{cause: noContact, silence: silence}
+	}
+	for name, d := range n.view.Load().domains {
 		if !d.Reachable {
-			return false
+			return settingsDoubt{cause: domainCutOff, domain: name}
 		}
 	}
-	return true
+	return settingsDoubt{}
 }
 
 // logQuotaRefusal logs what decided that a request is beyond its workspace's limit.
