--- a/internal/ctl/replicas.go
+++ b/internal/ctl/replicas.go
@@ -16,14 +16,15 @@
 	// Node is the name of the node that runs the leader, empty if no node reports that it
 	// leads.
 	Node string `json:"node"`
-	// Unanswered are the voters that no node of the answering ones runs.
-	Unanswered []string `json:"unanswered,omitempty"`
+	// Unseen are the voters that run on none of the nodes that answered. They are down, or
+	// in a failure domain of which the tool knows no node.
+	Unseen []string `json:"unseen,omitempty"`
 	node.GroupStatus
 }
 
 // PrintReplicas prints the replica groups: the leader or for how long there has been none,
 // the members, whether the group tolerates one more failure, the duration of the last
-// repair, and the voters that are missed or do not answer.
+// repair, the voters that it misses, and those on none of the nodes that answered.
 func PrintReplicas(o Output, admins []string) error {
 	all, err := DiscoverAdmins(admins)
 	if err != nil {
@@ -40,9 +41,9 @@
 		return o.json(groups)
 	}
 	nodeNames := replicaNodeNames(statuses)
-	t := o.table("GROUP", "LEADER", "VOTERS", "LEARNERS", "BEARS A LOSS", "LAST REPAIR", "MISSED", "NO ANSWER")
+	t := o.table("GROUP", "LEADER", "VOTERS", "LEARNERS", "BEARS A LOSS", "LAST REPAIR", "MISSED", "UNSEEN")
 	for _, g := range groups {
-		t.row(g.Group, g.formatLeader(), len(g.Voters), len(g.Learners), g.ToleratesFailure, formatRepairTime(g.RepairMs), g.formatMissed(nodeNames), orDash(strings.Join(g.Unanswered, ", ")))
+		t.row(g.Group, g.formatLeader(), len(g.Voters), len(g.Learners), g.ToleratesFailure, formatRepairTime(g.RepairMs), g.formatMissed(nodeNames), orDash(strings.Join(g.Unseen, ", ")))
 	}
 	return t.flush()
 }
@@ -68,7 +69,7 @@
 	for _, g := range byGroup {
 		for _, v := range g.Voters {
 			if id, _, _ := strings.Cut(v, "@"); names[id] == "" {
-				g.Unanswered = append(g.Unanswered, v)
+				g.Unseen = append(g.Unseen, v)
 			}
 		}
 		out = append(out, g)
--- a/internal/ctl/replicas_test.go
+++ b/internal/ctl/replicas_test.go
@@ -27,7 +27,7 @@
 	g.Expect(groups).To(gomega.HaveLen(1))
 	g.Expect(groups[0].formatLeader()).To(gomega.Equal("no leader for 12s"))
 	g.Expect(groups[0].formatMissed(map[string]string{"ida": "a"})).To(gomega.Equal("a 3s, idc@c:1 12s"))
-	g.Expect(groups[0].Unanswered).To(gomega.Equal([]string{"idc@c:1"}))
+	g.Expect(groups[0].Unseen).To(gomega.Equal([]string{"idc@c:1"}))
 	g.Expect(summarizeGroups([]node.Status{waiting})).To(gomega.BeEmpty())
 }
 
@@ -42,11 +42,11 @@
 	g.Expect(groups[0].Node).To(gomega.Equal("b"))
 	g.Expect(groups[0].formatLeader()).To(gomega.Equal("b"))
 	g.Expect(groups[0].formatMissed(nil)).To(gomega.Equal("-"))
-	g.Expect(groups[0].Unanswered).To(gomega.BeEmpty())
+	g.Expect(groups[0].Unseen).To(gomega.BeEmpty())
 
 	// The leader's node does not answer the tool, but a follower names it.
 	groups = summarizeGroups([]node.Status{cutOff, follower})
 	g.Expect(groups[0].Node).To(gomega.BeEmpty())
 	g.Expect(groups[0].formatLeader()).To(gomega.Equal("b:1"))
-	g.Expect(groups[0].Unanswered).To(gomega.Equal([]string{"ida@a:1", "idb@b:1"}))
+	g.Expect(groups[0].Unseen).To(gomega.Equal([]string{"ida@a:1", "idb@b:1"}))
 }
