umberctl config explain tells whether the settings may be outdated

The effective settings of a node looked current although the node knew that it might lack newer ones. The first line now has the version, since when and why it may be outdated, and when a quorum last confirmed it. With -o json the list is as before, for programs; they find the same in the node's status.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -204,7 +204,7 @@
 }
 
 // ConfigExplain prints the effective settings of a scope and the scope that sets
-// each of them.
+// each of them, and whether the node's settings may be outdated.
 func ConfigExplain(o Output, c *Client, scope string) error {
 	var ex []settings.EffectiveValue
 	if err := c.Get("/v1/config/explain", url.Values{"scope": {scope}}, &ex); err != nil {
@@ -213,6 +213,11 @@
 	if o.JSON {
 		return o.json(ex)
 	}
+	var status node.Status
+	if err := c.Get("/v1/status", nil, &status); err != nil {
+		return err
+	}
+	o.printf("%s\n\n", describeVersion(&status))
 	t := o.table("KEY", "VALUE", "FROM")
 	for _, e := range ex {
 		t.row(e.Key, e.Value, e.From)
@@ -220,6 +225,24 @@
 	return t.flush()
 }
 
+// describeVersion says which version a node has in force, since when and why it may be
+// outdated, and when a quorum last confirmed it.
+func describeVersion(s *node.Status) string {
+	text := fmt.Sprintf("version %d is in force on %s", s.Config, s.Name)
+	if s.ConfigDoubt != "" {
+		text += fmt.Sprintf(", may be outdated for %s: %s", formatAge(s.ConfigDoubtMs), s.ConfigDoubt)
+	}
+	if s.ConfigConfirmedMs >= 0 {
+		text += fmt.Sprintf("; a quorum last confirmed it %s ago", formatAge(s.ConfigConfirmedMs))
+	}
+	return text
+}
+
+// formatAge formats a time in milliseconds.
+func formatAge(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).Round(100 * time.Millisecond).String()
+}
+
 // ConfigHistory prints the recent changes of the settings.
 func ConfigHistory(o Output, c *Client) error {
 	var cs []confstore.Change
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
@@ -69,3 +72,28 @@
 		{Mark: "a", Request: "f/s/k/x", Nodes: 2, Ends: 4, NextMs: 800},
 	}))
 }
+
+// Guards against effective settings that look current on a node that may lack newer ones.
+func TestExplainTellsThatSettingsMayBeOutdated(t *testing.T) {
+	g := gomega.NewWithT(t)
+	status := node.Status{Name: "n1", Config: 7, ConfigConfirmedMs: -1}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var body any = &status
+		if r.URL.Path == "/v1/config/explain" {
+			body = []settings.EffectiveValue{{Key: "deadline", Value: "1s", From: "f"}}
+		}
+		_ = json.NewEncoder(w).Encode(body)
+	}))
+	defer server.Close()
+	explain := func(asJSON bool) string {
+		var b bytes.Buffer
+		g.Expect(ConfigExplain(Output{W: &b, JSON: asJSON}, NewClient(server.Listener.Addr().String()), "f")).To(gomega.Succeed())
+		return b.String()
+	}
+	g.Expect(explain(false)).To(gomega.HavePrefix("version 7 is in force on n1\n\nKEY "))
+	status.ConfigDoubtMs, status.ConfigDoubt = 12_250, "failure domain b is cut off"
+	g.Expect(explain(false)).To(gomega.HavePrefix("version 7 is in force on n1, may be outdated for 12.3s: failure domain b is cut off\n\nKEY "))
+	status.ConfigConfirmedMs = 90_000
+	g.Expect(explain(false)).To(gomega.HavePrefix("version 7 is in force on n1, may be outdated for 12.3s: failure domain b is cut off; a quorum last confirmed it 1m30s ago\n"))
+	g.Expect(explain(true)).To(gomega.HavePrefix("["), "programs read a list")
+}
