--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -66,6 +66,8 @@
 	retry *writeRetry
 	// stall records which disks are stalled.
 	stall diskStalls
+	// leaderWatch tracks how long no leader has been known.
+	leaderWatch leaderWatch
 
 	leaderAddr atomic.Pointer[string]
 	leads      atomic.Bool
@@ -87,6 +89,12 @@
 	// writeRefusedSince is when the disk refused the first of the current series of
 	// failed writes, on the node's clock, and 0 while it accepts writes.
 	writeRefusedSince atomic.Int64
+	// term and leaderID are those of the core. leaderlessFor is how long this replica has
+	// known no leader, in nanoseconds, and silentVoters are the voters that it misses.
+	term          atomic.Uint64
+	leaderID      atomic.Pointer[string]
+	leaderlessFor atomic.Int64
+	silentVoters  atomic.Pointer[[]SilentVoter]
 }
 
 // pendingProposal is a proposed command that awaits its result. done is closed
@@ -153,6 +161,7 @@
 	g.ticks++
 	g.checkDiskStalls()
 	g.retryWrite()
+	g.checkLeader()
 	if g.core.Role() != raft.Leader {
 		g.settled.Store(true)
 		g.vulnerableSince = time.Time{}
@@ -289,8 +298,11 @@
 	g.leads.Store(g.core.Role() == raft.Leader)
 	conf := g.core.Conf()
 	g.conf.Store(&conf)
-	addr := g.replicas.memberAddr(conf, g.core.Leader())
+	leader := g.core.Leader()
+	addr := g.replicas.memberAddr(conf, leader)
 	g.leaderAddr.Store(&addr)
+	g.leaderID.Store(&leader)
+	g.term.Store(g.core.Term())
 	if role := g.core.Role(); role != g.role {
 		if role == raft.Leader || g.role == raft.Leader {
 			g.replicas.node.logEvent("replica", "Group "+formatUint(uint64(g.id))+": this replica is "+role.String()+" in term "+formatUint(g.core.Term())+".")
