Drill: a replica whose disk refuses writes

write_refusal names a file; while it exists, writes of the node's replica logs fail with ENOSPC before anything is written, so that the log is the same as before once the file is gone. It wraps the log, internal/wal is unchanged. A write that is refused halfway is not simulated.

--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -37,6 +37,9 @@
 	// SyncHold is the path of a file that simulates a stalled disk in fault drills:
 	// while it exists, syncs of the replicas' logs do not return. Empty disables it.
 	SyncHold string `toml:"sync_hold"`
+	// WriteRefusal is the path of a file that simulates a full disk in fault drills: while
+	// it exists, writes of the replicas' logs fail. Empty disables it.
+	WriteRefusal string `toml:"write_refusal"`
 	// Replicas is the target number of voting replicas of each group.
 	Replicas int `toml:"replicas"`
 	// Shards is the number of groups among which the idempotency keys are divided. It
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -126,8 +126,11 @@
 	return nil
 }
 
-// wrapLog applies the test hook Options.wrapLog, if it is set.
+// wrapLog applies the drill Options.WriteRefusal and the test hook Options.wrapLog, if set.
 func (r *replicas) wrapLog(log replicaLog) replicaLog {
+	if r.node.opt.WriteRefusal != "" {
+		log = &refusingLog{log, r.node.opt.WriteRefusal}
+	}
 	if r.node.opt.wrapLog == nil {
 		return log
 	}
--- /dev/null
+++ b/internal/node/write_refusal.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"os"
+	"syscall"
+
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/raft"
+)
+
+// refusingLog is a log that refuses writes while the file Options.WriteRefusal exists, by
+// which fault drills simulate a full disk. A refused write leaves the disk as it was.
+type refusingLog struct {
+	replicaLog
+	path string
+}
+
+// Save implements replicaLog.
+func (l *refusingLog) Save(r *raft.Ready) error {
+	if err := l.refusal(); err != nil {
+		return err
+	}
+	return l.replicaLog.Save(r)
+}
+
+// Reset implements replicaLog.
+func (l *refusingLog) Reset(snap raft.Snapshot, st raft.HardState, entries []raft.Entry) error {
+	if err := l.refusal(); err != nil {
+		return err
+	}
+	return l.replicaLog.Reset(snap, st, entries)
+}
+
+// refusal returns the error of a full disk while the file exists.
+func (l *refusingLog) refusal() error {
+	if _, err := os.Stat(l.path); err != nil {
+		return nil
+	}
+	return fault.Wrap(fault.Internal, syscall.ENOSPC, "cannot write the log")
+}
