soak: disks that refuse writes, and a lost disk while all nodes are down

The outage of the second site was not within reach of the soak: no step made a write fail, and no disk was lost while the other nodes were down.

Bootstrap addresses are written anew before, as nodes that were replaced have moved.

--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -70,6 +70,8 @@
 	soaks.Flag("rate", "Requests per second to each fleet.").Default("120").IntVar(&sk.requestRate)
 	soaks.Flag("limits", "Let backend servers limit the rate of their requests, and leave.").BoolVar(&sk.limits)
 	soaks.Flag("stalls", "Let the disks of replicas stall too, for 0.5 to 3.5 s at a time.").BoolVar(&sk.stalls)
+	soaks.Flag("refuse-writes", "Let the disks of replicas refuse writes, for 0.5 to 4 s at a time, and at the end lose another disk after that.").BoolVar(&sk.refuseWrites)
+	soaks.Flag("last-fault", "At the end lose a disk while all other nodes are killed.").BoolVar(&sk.lastFault)
 	soaks.Flag("poison", "Send a request that terminates backend servers after the fleet has recovered.").BoolVar(&sk.poison)
 	soaks.Flag("failed", "Play the runs that once broke a promise, in place of the seeds.").BoolVar(&sk.replayFailures)
 	soaks.Flag("json", "File for the reports as JSON, durations in nanoseconds.").StringVar(&sk.reportFile)
--- a/cmd/umberbench/soak.go
+++ b/cmd/umberbench/soak.go
@@ -25,6 +25,9 @@
 	// stalls injects disk stalls. poison sends a request that terminates backend
 	// servers after the faults.
 	stalls, poison bool
+	// refuseWrites lets disks refuse writes, lastFault ends with the loss of a disk while all
+	// other nodes are killed.
+	refuseWrites, lastFault bool
 	// limits lets backend servers limit the rate of their requests, and leave.
 	limits bool
 	// replayFailures runs soak.KnownFailures in place of the seeds.
@@ -87,7 +90,7 @@
 func (o soakOptions) plannedRuns(bin string) []soak.Options {
 	var out []soak.Options
 	add := func(seed uint64, span time.Duration, stalls bool) {
-		out = append(out, soak.Options{Bin: bin, Seed: seed, Duration: span, DiskStalls: stalls, PoisonRequest: o.poison, ServerLimits: o.limits, Nodes: o.nodes, RequestRate: o.requestRate})
+		out = append(out, soak.Options{Bin: bin, Seed: seed, Duration: span, DiskStalls: stalls, PoisonRequest: o.poison, ServerLimits: o.limits, RefuseWrites: o.refuseWrites, LastFault: o.lastFault, Nodes: o.nodes, RequestRate: o.requestRate})
 	}
 	if o.replayFailures {
 		for _, f := range soak.KnownFailures {
@@ -114,6 +117,9 @@
 func printReport(rep *soak.Report) bool {
 	fmt.Printf("seed %d: %d steps, %d attempts, %d served, %d refused, %d changes, recovered after %s, replicas whole %s later, in force %s after the return of all replicas\n",
 		rep.Seed, len(rep.Steps), rep.Attempts, rep.Served, rep.Refused, rep.Changes, rep.Recovered.Round(10*time.Millisecond), rep.Repaired.Round(10*time.Millisecond), rep.InForce.Round(time.Millisecond))
+	if rep.FirstChange > 0 {
+		fmt.Printf("  a change was accepted %s after the last start of all nodes\n", rep.FirstChange.Round(time.Millisecond))
+	}
 	if rep.Stated > 0 {
 		fmt.Printf("  %d of %d requests to limited or leaving servers judged by entry node\n", rep.Judged, rep.Stated)
 	}
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -63,6 +63,8 @@
 	settingsFile               string
 	name                       string
 	spec                       NodeSpec
+	// advertised are the settings lines for the advertised addresses.
+	advertised []string
 }
 
 // Server is a stand-in backend server process.
@@ -152,7 +154,7 @@
 	if err := assignFreeAddrs(&n.HTTP, &n.Data, &n.Control, &n.Admin); err != nil {
 		return nil, err
 	}
-	if err := f.writeSettings(n); err != nil {
+	if err := f.advertise(n); err != nil {
 		return nil, err
 	}
 	f.Nodes = append(f.Nodes, n)
@@ -165,6 +167,30 @@
 	if err := assignFreeAddrs(&n.Data, &n.Control); err != nil {
 		return err
 	}
+	return f.advertise(n)
+}
+
+// UpdateBootstrap writes the current bootstrap addresses to the settings files of all nodes,
+// which read them at their next start. No address of a node changes.
+func (f *Fleet) UpdateBootstrap() error {
+	for _, n := range f.Nodes {
+		if err := f.writeSettings(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// advertise determines the advertised addresses of a node and writes its settings file.
+func (f *Fleet) advertise(n *Node) error {
+	n.advertised = nil
+	if n.spec.Advertise != nil {
+		lines, err := n.spec.Advertise(n.Data, n.Control)
+		if err != nil {
+			return err
+		}
+		n.advertised = lines
+	}
 	return f.writeSettings(n)
 }
 
@@ -200,13 +226,7 @@
 		lines = append(lines, fmt.Sprintf("data_folder = %q", n.DataFolder))
 	}
 	lines = append(lines, s.ExtraSettings...)
-	if s.Advertise != nil {
-		more, err := s.Advertise(n.Data, n.Control)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, more...)
-	}
+	lines = append(lines, n.advertised...)
 	if err := os.WriteFile(n.settingsFile, []byte(strings.Join(lines, "\n")), 0o644); err != nil {
 		return fault.Wrap(fault.Internal, err, "cannot write settings")
 	}
--- a/internal/soak/act.go
+++ b/internal/soak/act.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -46,7 +47,9 @@
 		time.Sleep(s.For)
 		m.Signal(syscall.SIGCONT)
 	case s.Kind == StallDisk:
-		r.stallDisk(m, s.For)
+		r.disturbDisk(&m.stall, s.For)
+	case s.Kind == RefuseWrites:
+		r.disturbDisk(&m.refusal, s.For)
 	case s.Kind == ChangeSettings:
 		r.operators.changeSettings(s.Target)
 	case s.Kind == ConflictingChanges:
@@ -177,17 +180,24 @@
 	}
 }
 
-// stallDisk blocks the syncs of a replica's disk for the given time.
-func (r *soakRun) stallDisk(m *member, span time.Duration) {
-	m.stallMu.Lock()
-	defer m.stallMu.Unlock()
-	if err := os.WriteFile(m.syncHoldFile, nil, 0o644); err != nil {
-		r.reportViolation("soak", "cannot stall a disk: %v", err)
+// diskFault is a fault of a replica's disk that lasts while its file exists. The mutex is held
+// as long.
+type diskFault struct {
+	mu   sync.Mutex
+	file string
+}
+
+// disturbDisk keeps up a fault of a disk for the given time.
+func (r *soakRun) disturbDisk(f *diskFault, span time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := os.WriteFile(f.file, nil, 0o644); err != nil {
+		r.reportViolation("soak", "cannot start a fault of a disk: %v", err)
 		return
 	}
 	time.Sleep(span)
-	if err := os.Remove(m.syncHoldFile); err != nil {
-		r.reportViolation("soak", "cannot end a disk stall: %v", err)
+	if err := os.Remove(f.file); err != nil {
+		r.reportViolation("soak", "cannot end a fault of a disk: %v", err)
 	}
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -62,9 +62,8 @@
 	servers []*standin.Server
 	options standin.Options
 
-	// stallMu is held while the disk stalls, which it does while syncHoldFile exists.
-	stallMu      sync.Mutex
-	syncHoldFile string
+	// The disk stalls while stall exists, and refuses writes while refusal exists.
+	stall, refusal diskFault
 
 	// mu is held while the process or the backend server is stopped or started.
 	mu sync.Mutex
@@ -116,12 +115,17 @@
 
 // addNode starts the node with index i.
 func (f *fleet) addNode(i int) error {
-	m := &member{processStarts: 1, syncHoldFile: filepath.Join(f.Dir, fmt.Sprintf("hold-%d", i+1))}
+	m := &member{processStarts: 1}
+	m.stall.file = filepath.Join(f.Dir, fmt.Sprintf("hold-%d", i+1))
+	m.refusal.file = filepath.Join(f.Dir, fmt.Sprintf("full-%d", i+1))
 	f.members = append(f.members, m)
 	domain := fmt.Sprintf("d%d", i%replicas+1)
 	n, err := f.StartNode(harness.NodeSpec{
 		Domain: domain, HasDisk: i < replicas, Advertise: m.startRelays,
-		ExtraSettings: []string{"replicas = 3", "min_voters = 2", `replace_after = "4s"`, fmt.Sprintf("stop_timeout = %q", stopTimeout), fmt.Sprintf("sync_hold = %q", m.syncHoldFile)},
+		ExtraSettings: []string{
+			"replicas = 3", "min_voters = 2", `replace_after = "4s"`, fmt.Sprintf("stop_timeout = %q", stopTimeout),
+			fmt.Sprintf("sync_hold = %q", m.stall.file), fmt.Sprintf("write_refusal = %q", m.refusal.file),
+		},
 	})
 	m.Node = n
 	return err
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -74,9 +74,25 @@
 	return 0
 }
 
+// changeUntilAccepted submits changes until one is accepted or the time is over. It reads the
+// newest version only if the newest accepted one is not, so that no read delays the change.
+func (o *operators) changeUntilAccepted(nodeIndex int, within time.Duration) (settingsChange, bool) {
+	base := uint64(0)
+	for _, c := range o.acceptedChanges() {
+		base = max(base, c.version)
+	}
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(changeRetryDelay) {
+		if c := o.submitChange(base, nodeIndex); c.version > 0 {
+			return c, true
+		}
+		base = o.newestVersion(nodeIndex)
+	}
+	return settingsChange{}, false
+}
+
 // submitChange resends a change until it is accepted, conflicts with another one or
 // times out.
-func (o *operators) submitChange(base uint64, nodeIndex int) {
+func (o *operators) submitChange(base uint64, nodeIndex int) settingsChange {
 	o.mu.Lock()
 	o.lastChange++
 	change := settingsChange{id: uuid.NewString(), baseVersion: base, entry: fmt.Sprintf("soak/extra-%d#deadline", o.lastChange), value: fmt.Sprintf("%dms", 1000+o.lastChange)}
@@ -98,6 +114,7 @@
 	o.mu.Lock()
 	o.changes = append(o.changes, change)
 	o.mu.Unlock()
+	return change
 }
 
 // acceptedChanges returns the changes that were accepted.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,7 +32,8 @@
 	ServerSlowdown StepKind = "server-slow"
 	ServerErrors   StepKind = "server-fail" // half of the requests fail
 
-	StallDisk StepKind = "stall" // syncs of a replica's disk block
+	StallDisk    StepKind = "stall"  // syncs of a replica's disk block
+	RefuseWrites StepKind = "refuse" // a replica's disk refuses writes
 
 	ChangeSettings     StepKind = "change" // one settings change
 	ConflictingChanges StepKind = "race"   // two concurrent settings changes based on the same version
@@ -49,7 +50,9 @@
 func (k StepKind) losesDisk() bool { return k == WipeDisk || k == ReplaceNode }
 
 // requiresDisk reports whether the kind applies only to nodes with a disk.
-func (k StepKind) requiresDisk() bool { return k.losesDisk() || k == TearLog || k == StallDisk }
+func (k StepKind) requiresDisk() bool {
+	return k.losesDisk() || k == TearLog || k == StallDisk || k == RefuseWrites
+}
 
 // stopsProcess reports whether the kind ends the process of a node.
 func (k StepKind) stopsProcess() bool {
@@ -150,10 +153,29 @@
 // StallPlan returns the disk stalls for a seed, independently of Plan. Stalls of
 // several disks may overlap.
 func StallPlan(seed uint64, replicas int, span time.Duration) []Step {
-	r := rand.New(rand.NewPCG(seed, uint64(meanStallInterval)))
+	return diskPlan(StallDisk, seed, replicas, span, meanStallInterval, minStall, maxStall)
+}
+
+const (
+	// meanRefusalInterval is the mean time between two refusals of any disk, minRefusal and
+	// maxRefusal bound their duration.
+	meanRefusalInterval = 4 * time.Second
+	minRefusal          = 500 * time.Millisecond
+	maxRefusal          = 4 * time.Second
+)
+
+// RefusalPlan returns the steps in which disks refuse writes for a seed, independently of the
+// other plans. Refusals of several disks may overlap.
+func RefusalPlan(seed uint64, replicas int, span time.Duration) []Step {
+	return diskPlan(RefuseWrites, seed, replicas, span, meanRefusalInterval, minRefusal, maxRefusal)
+}
+
+// diskPlan returns steps of one kind, at the mean interval on any replica.
+func diskPlan(kind StepKind, seed uint64, replicas int, span, interval, shortest, longest time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, uint64(interval)))
 	var steps []Step
-	for at := initialDelay; at < span; at += time.Duration(r.ExpFloat64() * float64(meanStallInterval)) {
-		steps = append(steps, Step{At: at, Kind: StallDisk, Target: r.IntN(replicas), For: minStall + time.Duration(r.Int64N(int64(maxStall-minStall)))})
+	for at := initialDelay; at < span; at += time.Duration(r.ExpFloat64() * float64(interval)) {
+		steps = append(steps, Step{At: at, Kind: kind, Target: r.IntN(replicas), For: shortest + time.Duration(r.Int64N(int64(longest-shortest)))})
 	}
 	return steps
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -63,6 +63,29 @@
 	})
 }
 
+// Guards against refusal plans that differ for the same seed, or refuse writes of nodes without a
+// disk.
+func TestRefusalPlanIsDeterministicAndSeparate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		const span = 20 * time.Second
+		refusals := RefusalPlan(seed, replicas, span)
+		if !slices.Equal(refusals, RefusalPlan(seed, replicas, span)) {
+			t.Fatal("refusal plans for the same seed differ")
+		}
+		for _, s := range refusals {
+			if s.Kind != RefuseWrites || s.Target >= replicas || s.For < minRefusal || s.For > maxRefusal || s.At > span {
+				t.Fatalf("invalid refusal: %v", s)
+			}
+		}
+		stalls := StallPlan(seed, replicas, span)
+		others := slices.DeleteFunc(mergeSteps(stalls, refusals), func(s Step) bool { return s.Kind == RefuseWrites })
+		if !slices.Equal(others, stalls) {
+			t.Fatal("the refusals change the other steps")
+		}
+	})
+}
+
 // Guards against checks that miss violations in a recorded run.
 func TestChecksReportViolations(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,6 +23,10 @@
 	// DiskStalls adds disk stalls to the plan. PoisonRequest adds a request that
 	// crashes backend servers, sent after the recovery.
 	DiskStalls, PoisonRequest bool
+	// RefuseWrites adds disks that refuse writes to the plan, and a loss of another disk after
+	// such a refusal to its end. LastFault ends the run with the loss of a disk while all
+	// other nodes are killed.
+	RefuseWrites, LastFault bool
 	// ServerLimits adds backend servers that limit their requests or leave to the plan.
 	ServerLimits bool
 	// Nodes is the number of nodes, at least 6.
@@ -75,6 +79,9 @@
 	// InForce is the time from the acceptance of a settings change to its activation
 	// on every node, for a change made after a restart of all replicas.
 	InForce time.Duration
+	// FirstChange is the time from the last start after Options.LastFault until a settings
+	// change was accepted, 0 if none was.
+	FirstChange time.Duration
 	// Folder holds the logs; it is removed, and the field empty, without violations.
 	Folder string
 }
@@ -135,6 +142,9 @@
 	if r.options.DiskStalls {
 		steps = mergeSteps(steps, StallPlan(r.options.Seed, replicas, r.options.Duration))
 	}
+	if r.options.RefuseWrites {
+		steps = mergeSteps(steps, RefusalPlan(r.options.Seed, replicas, r.options.Duration))
+	}
 	if r.options.ServerLimits {
 		steps = mergeSteps(steps, LimitPlan(r.options.Seed, r.options.Nodes, r.options.Duration))
 	}
@@ -166,16 +176,29 @@
 	if _, _, err := r.awaitService(recoveryTimeout); err != nil {
 		r.reportViolation("recovery", "requests still fail %s after the restart of all replicas: %v", recoveryTimeout, err)
 	}
+	firstChange := r.playEndings()
 	stop()
 	load.Wait()
 	r.checkPromises()
-	rep := &Report{Seed: r.options.Seed, Steps: steps, Played: played, Recovered: recovered, Missed: missed, Repaired: repaired, InForce: inForce, Folder: r.fleet.Dir, Broken: r.violations, Stated: r.stated, Judged: r.judged, Changes: len(r.operators.acceptedChanges()), Outcomes: map[string]int{}}
+	rep := &Report{Seed: r.options.Seed, Steps: steps, Played: played, Recovered: recovered, Missed: missed, Repaired: repaired, InForce: inForce, FirstChange: firstChange, Folder: r.fleet.Dir, Broken: r.violations, Stated: r.stated, Judged: r.judged, Changes: len(r.operators.acceptedChanges()), Outcomes: map[string]int{}}
 	for _, a := range r.callers.recordedAttempts() {
 		rep.count(a, r.isServable(a))
 	}
 	return rep
 }
 
+// playEndings plays the losses of disks that the options add to the end of the run, and
+// returns Report.FirstChange.
+func (r *soakRun) playEndings() time.Duration {
+	if r.options.RefuseWrites {
+		r.loseDiskAfterRefusal()
+	}
+	if !r.options.LastFault {
+		return 0
+	}
+	return r.loseDiskWhileAllAreDown()
+}
+
 // count adds an attempt to the counts.
 func (rep *Report) count(a attempt, servable bool) {
 	rep.Attempts++
