harness: ports of nodes are none of outgoing connections

One node of six did not start after all were killed: "listen tcp 127.0.0.1:34609: bind: address already in use". It was one of the two replicas that had kept their disks, so there was no quorum.

The port came from the range that the system gives to outgoing connections. While the node is down, a connection of any process can get it, and keep it for the rest of the run. Not the product's fault: a fleet has fixed ports.

FreeAddr now draws ports below that range.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -3,7 +3,9 @@
 package sock
 
 import (
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"syscall"
 
 	"github.com/umberthread/umberthread/fault"
@@ -58,24 +60,38 @@
 	}
 }
 
+const (
+	// firstPort and lastPort bound the ports of FreeAddr. They lie below those that the system
+	// gives to outgoing connections, one of which could otherwise take the port of a process
+	// while that is restarted.
+	firstPort = 10000
+	lastPort  = 32767
+)
+
 // FreeAddr returns a loopback address whose TCP and UDP ports are free at the time
 // of the call, for a process that a test or benchmark starts.
 func FreeAddr() (string, error) {
 	const tries = 100
 	var last error
 	for range tries {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", fault.Wrap(fault.Internal, err, "no free port")
-		}
-		addr := ln.Addr().String()
-		pc, err := net.ListenPacket("udp", addr)
-		_ = ln.Close()
-		if err == nil {
-			_ = pc.Close()
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort+1)))
+		if last = checkFree(addr); last == nil {
 			return addr, nil
 		}
-		last = err
 	}
 	return "", fault.Wrap(fault.Internal, last, "no free port")
 }
+
+// checkFree returns an error if the TCP or the UDP port of an address is taken.
+func checkFree(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = ln.Close() }()
+	pc, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return err
+	}
+	return pc.Close()
+}
