--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -57,10 +57,12 @@
 	// corresponding state in the replica chart.
 	role       raft.Role
 	chartState chart.State
-	// failed is set after a disk error, which stops the replica.
+	// failed is set after a snapshot that this version cannot read, which stops the replica.
 	failed bool
 	// compacting reports whether a compaction is being written.
 	compacting bool
+	// retry is set while the disk refuses writes.
+	retry *writeRetry
 	// stall records which disks are stalled.
 	stall diskStalls
 
@@ -81,6 +83,9 @@
 	// reports, on the leader, whether too few disks respond for a quorum.
 	saveTime atomic.Int64
 	stalled  atomic.Bool
+	// writeRefusedSince is when the disk refused the first of the current series of
+	// failed writes, on the node's clock, and 0 while it accepts writes.
+	writeRefusedSince atomic.Int64
 }
 
 // pendingProposal is a proposed command that awaits its result. done is closed
@@ -146,6 +151,7 @@
 	g.core.Tick()
 	g.ticks++
 	g.checkDiskStalls()
+	g.retryWrite()
 	if g.core.Role() != raft.Leader {
 		g.settled.Store(true)
 		g.vulnerableSince = time.Time{}
@@ -220,7 +226,9 @@
 	switch {
 	case g.failed:
 	case w.err != nil:
-		g.fail(w.err)
+		g.recordRefusedWrite(w)
+	case w.job.rewrite:
+		g.completeRewrite()
 	case w.job.reset != nil:
 		g.compacting = false
 	default:
@@ -229,13 +237,13 @@
 	}
 }
 
-// fail stops the replica after a disk error. It must not continue, as the state on
-// disk is unknown; the next start checks it and takes a new identity if it is damaged.
+// fail stops the replica after a snapshot that it cannot read, as what it would apply next
+// builds on the snapshot.
 func (g *group) fail(err error) {
 	g.failed = true
-	g.applyEvent(replicaEventDiskFailed)
+	g.applyEvent(replicaEventRestoreFailed)
 	g.leads.Store(false)
-	g.replicas.node.logEvent("replica", "Replica stopped after a disk error: "+err.Error())
+	g.replicas.node.warnEvent("replica", "Group "+formatUint(uint64(g.id))+": this replica stopped, it cannot read a snapshot: "+err.Error())
 }
 
 // applyEntry applies a committed entry and completes the proposal that waits for it.
@@ -318,7 +326,7 @@
 	if g.failed || g.compacting || g.core.LogLen() < compactionThreshold {
 		return
 	}
-	if g.core.Saving() {
+	if g.core.Saving() || g.retry != nil {
 		return
 	}
 	data, err := g.sm.snapshot()
--- a/internal/node/write_refusal.go
+++ b/internal/node/write_refusal.go
@@ -8,15 +8,15 @@
 	"github.com/umberthread/umberthread/raft"
 )
 
-// refusingLog is a log that refuses writes while the file Options.WriteRefusal exists, by
+// fullDiskLog is a log that refuses writes while the file Options.WriteRefusal exists, by
 // which fault drills simulate a full disk. A refused write leaves the disk as it was.
-type refusingLog struct {
+type fullDiskLog struct {
 	replicaLog
 	path string
 }
 
 // Save implements replicaLog.
-func (l *refusingLog) Save(r *raft.Ready) error {
+func (l *fullDiskLog) Save(r *raft.Ready) error {
 	if err := l.refusal(); err != nil {
 		return err
 	}
@@ -24,7 +24,7 @@
 }
 
 // Reset implements replicaLog.
-func (l *refusingLog) Reset(snap raft.Snapshot, st raft.HardState, entries []raft.Entry) error {
+func (l *fullDiskLog) Reset(snap raft.Snapshot, st raft.HardState, entries []raft.Entry) error {
 	if err := l.refusal(); err != nil {
 		return err
 	}
@@ -32,9 +32,9 @@
 }
 
 // refusal returns the error of a full disk while the file exists.
-func (l *refusingLog) refusal() error {
+func (l *fullDiskLog) refusal() error {
 	if _, err := os.Stat(l.path); err != nil {
 		return nil
 	}
-	return fault.Wrap(fault.Internal, syscall.ENOSPC, "cannot write the log")
+	return fault.Wrap(fault.DiskRefused, syscall.ENOSPC, "cannot write the log")
 }
--- a/internal/node/write_refusal_test.go
+++ b/internal/node/write_refusal_test.go
@@ -18,7 +18,7 @@
 	dir, file := t.TempDir(), filepath.Join(t.TempDir(), "full")
 	disk, _, err := wal.Open(dir)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	log := &refusingLog{disk, file}
+	log := &fullDiskLog{disk, file}
 	save := func(index uint64) error {
 		return log.Save(&raft.Ready{State: &raft.HardState{Term: 1}, Entries: []raft.Entry{{Index: index, Term: 1}}})
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -4,7 +4,8 @@
 // A record is a length (4 bytes), a CRC-32C (4 bytes) and a msgpack payload. A separate file
 // stores the synced size of the log. An incomplete or corrupt record beyond the synced size was
 // never acknowledged and is dropped. Corruption below it means that the disk lost acknowledged
-// data: Open fails with fault.Corrupt, and the caller must treat the disk as lost.
+// data: Open fails with fault.Corrupt, and the caller must treat the disk as lost. A disk that
+// refuses a call is no such loss: the code is fault.DiskRefused, and another Open may succeed.
 package wal
 
 import (
@@ -13,12 +14,12 @@
 	"hash/crc32"
 	"io"
 	"os"
-	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/disk"
 	"github.com/umberthread/umberthread/raft"
 )
 
@@ -29,7 +30,7 @@
 	headerBytes      = 8
 	// maxRecordBytes limits the payload of a record.
 	maxRecordBytes  = 64 << 20
-	syncedFileBytes = 24
+	syncedFileBytes = 16 + crc32.Size
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -52,9 +53,9 @@
 
 // WAL is the open directory of a replica group. It is not safe for concurrent use.
 type WAL struct {
-	dir        string
-	logFile    *os.File
-	syncedFile *os.File
+	dir        disk.Folder
+	logFile    disk.File
+	syncedFile disk.File
 	// logSize is the size of the log, and baseIndex the snapshot index that it continues.
 	logSize   int64
 	baseIndex uint64
@@ -76,13 +77,20 @@
 // termVoteOf returns the term and vote of a state.
 func termVoteOf(s raft.HardState) termVote { return termVote{s.Term, s.Vote} }
 
-// Open opens or creates the directory and returns its contents.
+// Open opens or creates a directory of the operating system; see OpenFolder.
 func Open(dir string) (*WAL, Contents, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, Contents{}, fault.Wrap(fault.Internal, err, "cannot create the data directory")
+	return OpenFolder(disk.Folder{FS: disk.OS{}, Path: dir})
+}
+
+// OpenFolder opens or creates the directory and returns its contents. The caller syncs the parent,
+// which makes the name of a new directory durable.
+func OpenFolder(dir disk.Folder) (*WAL, Contents, error) {
+	if err := dir.Create(); err != nil {
+		return nil, Contents{}, fault.Wrap(fault.DiskRefused, err, "cannot create the data directory")
 	}
 	w := &WAL{dir: dir}
 	if err := w.load(); err != nil {
+		w.Close()
 		return nil, Contents{}, err
 	}
 	return w, w.contents, nil
@@ -94,42 +102,65 @@
 		return err
 	}
 	var err error
-	if w.syncedFile, err = os.OpenFile(w.path(syncedFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot open the file with the synced size")
+	if w.syncedFile, err = w.dir.OpenFile(w.path(syncedFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot open the file with the synced size")
 	}
-	if w.logFile, err = os.OpenFile(w.path(logFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot open the log")
+	if w.logFile, err = w.dir.OpenFile(w.path(logFileName), os.O_RDWR|os.O_CREATE, 0o644); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot open the log")
 	}
 	validSize, err := w.replay()
 	if err != nil {
 		return err
 	}
-	if synced := w.readSyncedSize(); validSize < synced {
+	synced, err := w.readSyncedSize()
+	if err != nil {
+		return err
+	}
+	if validSize < synced {
 		return fault.Newf(fault.Corrupt, "the log is corrupt at byte %d, but %d bytes were synced", validSize, synced)
 	}
-	w.dropCoveredEntries()
-	if err := w.logFile.Truncate(validSize); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot truncate the log")
+	if err := w.dropCoveredEntries(); err != nil {
+		return err
+	}
+	if !w.logContinuesSnapshot(validSize) {
+		return w.Reset(w.contents.Snapshot, w.contents.State, w.contents.Entries)
+	}
+	if err := w.truncateLog(validSize); err != nil {
+		return err
 	}
-	w.logSize = validSize
 	w.syncedVote = termVoteOf(w.contents.State)
 	if _, err := w.logFile.Seek(validSize, io.SeekStart); err != nil {
-		return fault.Wrap(fault.Internal, err, "cannot seek in the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot seek in the log")
 	}
 	return syncDir(w.dir)
 }
 
+// truncateLog drops the end of the log and syncs the rest: a killed process may have left
+// records unsynced, and what Open returns is acted on.
+func (w *WAL) truncateLog(size int64) error {
+	if size < w.logSize {
+		if err := w.logFile.Truncate(size); err != nil {
+			return fault.Wrap(fault.DiskRefused, err, "cannot truncate the log")
+		}
+		w.logSize = size
+	}
+	if err := w.logFile.Sync(); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot sync the log")
+	}
+	return nil
+}
+
 // path returns the path of a file in the directory.
-func (w *WAL) path(name string) string { return filepath.Join(w.dir, name) }
+func (w *WAL) path(name string) string { return w.dir.Join(name) }
 
 // loadSnapshot reads the snapshot file, if there is one.
 func (w *WAL) loadSnapshot() error {
-	data, err := os.ReadFile(w.path(snapshotFileName))
+	data, err := w.dir.ReadFile(w.path(snapshotFileName))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
 	if err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot read the snapshot")
+		return fault.Wrap(fault.DiskRefused, err, "cannot read the snapshot")
 	}
 	payload, n := nextRecord(data)
 	if n == 0 || n != len(data) || msgpack.Unmarshal(payload, &w.contents.Snapshot) != nil {
@@ -159,8 +190,9 @@
 func (w *WAL) replay() (int64, error) {
 	data, err := io.ReadAll(bufio.NewReader(w.logFile))
 	if err != nil {
-		return 0, fault.Wrap(fault.Corrupt, err, "cannot read the log")
+		return 0, fault.Wrap(fault.DiskRefused, err, "cannot read the log")
 	}
+	w.logSize = int64(len(data))
 	var validSize int64
 	w.baseIndex = w.contents.Snapshot.Index
 	for {
@@ -175,64 +207,111 @@
 		if validSize == 0 {
 			w.baseIndex = r.Base
 		}
-		w.applyRecord(r)
+		if !w.applyRecord(r) {
+			return validSize, nil
+		}
 		validSize += int64(n)
 	}
 }
 
-// applyRecord updates the contents with a record of the log that starts after baseIndex.
-func (w *WAL) applyRecord(r record) {
-	if r.State != nil {
-		w.contents.State = *r.State
-	}
+// applyRecord updates the contents with a record of the log that starts after baseIndex. It
+// reports false if the record does not continue the entries before it.
+func (w *WAL) applyRecord(r record) bool {
 	for _, e := range r.Entries {
 		at := int64(e.Index) - int64(w.baseIndex) - 1
-		if at < 0 || at > int64(len(w.contents.Entries)) {
-			continue
+		if at > int64(len(w.contents.Entries)) {
+			return false
+		}
+		if at >= 0 {
+			w.contents.Entries = append(w.contents.Entries[:at], e)
 		}
-		w.contents.Entries = append(w.contents.Entries[:at], e)
 	}
+	if r.State != nil {
+		w.contents.State = *r.State
+	}
+	return true
 }
 
 // dropCoveredEntries drops the entries covered by the snapshot, after a crash between writing
 // the snapshot and replacing the log. If the log does not match the snapshot's last entry, it
 // drops all entries.
-func (w *WAL) dropCoveredEntries() {
+func (w *WAL) dropCoveredEntries() error {
 	snap := &w.contents.Snapshot
 	if w.baseIndex == snap.Index {
-		return
+		return nil
+	}
+	if w.baseIndex > snap.Index {
+		return fault.Newf(fault.Corrupt, "the log continues a snapshot of index %d, but the snapshot's index is %d", w.baseIndex, snap.Index)
 	}
 	at := int64(snap.Index) - int64(w.baseIndex) - 1
-	if at < 0 || at >= int64(len(w.contents.Entries)) || w.contents.Entries[at].Term != snap.Term {
+	if at >= int64(len(w.contents.Entries)) || w.contents.Entries[at].Term != snap.Term {
 		w.contents.Entries = nil
-		return
+		return nil
 	}
 	w.contents.Entries = append([]raft.Entry(nil), w.contents.Entries[at+1:]...)
+	return nil
+}
+
+// logContinuesSnapshot reports whether records may be appended to a log of the given size. The
+// next Open would take them for entries after another snapshot otherwise, and drop them.
+func (w *WAL) logContinuesSnapshot(size int64) bool {
+	if size == 0 {
+		return w.contents.Snapshot.Index == 0
+	}
+	return w.baseIndex == w.contents.Snapshot.Index
 }
 
 // readSyncedSize returns the synced size of the log, or 0 if the stored size is corrupt or
 // belongs to another log.
-func (w *WAL) readSyncedSize() int64 {
+func (w *WAL) readSyncedSize() (int64, error) {
 	var b [syncedFileBytes]byte
-	if _, err := w.syncedFile.ReadAt(b[:], 0); err != nil {
-		return 0
+	switch _, err := w.syncedFile.ReadAt(b[:], 0); {
+	case errors.Is(err, io.EOF):
+		return 0, nil
+	case err != nil:
+		return 0, fault.Wrap(fault.DiskRefused, err, "cannot read the synced size")
 	}
-	base, n := binary.BigEndian.Uint64(b[:]), binary.BigEndian.Uint64(b[8:])
-	if base != w.baseIndex || base^n != ^binary.BigEndian.Uint64(b[16:]) {
-		return 0
+	base, size, ok := decodeSyncedSize(b[:])
+	if !ok || base != w.baseIndex {
+		return 0, nil
 	}
-	return int64(n)
+	return size, nil
 }
 
 // writeSyncedSize stores the synced size of the log. It needs no sync: an outdated size only
 // makes Open accept the loss of more records.
 func (w *WAL) writeSyncedSize() error {
-	var b [syncedFileBytes]byte
-	binary.BigEndian.PutUint64(b[:], w.baseIndex)
-	binary.BigEndian.PutUint64(b[8:], uint64(w.logSize))
-	binary.BigEndian.PutUint64(b[16:], ^(w.baseIndex ^ uint64(w.logSize)))
-	_, err := w.syncedFile.WriteAt(b[:], 0)
-	return err
+	if _, err := w.syncedFile.WriteAt(encodeSyncedSize(w.baseIndex, w.logSize), 0); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot write the synced size")
+	}
+	return nil
+}
+
+// forgetSyncedSize removes the synced size before a log is replaced by one that continues the
+// same snapshot. After a loss of power the size of the former log could exceed the new one's.
+func (w *WAL) forgetSyncedSize() error {
+	if err := w.syncedFile.Truncate(0); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot remove the synced size")
+	}
+	if err := w.syncedFile.Sync(); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot remove the synced size")
+	}
+	return nil
+}
+
+// encodeSyncedSize returns the contents of the file with the synced size of a log.
+func encodeSyncedSize(base uint64, size int64) []byte {
+	b := make([]byte, 0, syncedFileBytes)
+	b = binary.BigEndian.AppendUint64(b, base)
+	b = binary.BigEndian.AppendUint64(b, uint64(size))
+	return binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+}
+
+// decodeSyncedSize reads what encodeSyncedSize returned, and reports false if it is torn.
+func decodeSyncedSize(b []byte) (base uint64, size int64, ok bool) {
+	data, sum := b[:syncedFileBytes-crc32.Size], b[syncedFileBytes-crc32.Size:]
+	ok = crc32.Checksum(data, castagnoli) == binary.BigEndian.Uint32(sum)
+	return binary.BigEndian.Uint64(data), int64(binary.BigEndian.Uint64(data[8:])), ok
 }
 
 // SetBeforeSync sets a function that is called before each sync; tests use it to simulate a
@@ -309,6 +388,11 @@
 		return fault.Wrap(fault.Internal, err, "cannot encode a record")
 	}
 	log := appendFrame(nil, payload)
+	if snap.Index == w.baseIndex {
+		if err := w.forgetSyncedSize(); err != nil {
+			return err
+		}
+	}
 	if err := replaceFile(w.dir, logFileName, log); err != nil {
 		return err
 	}
@@ -318,12 +402,12 @@
 // reopen switches to a replaced log of the given size.
 func (w *WAL) reopen(snap raft.Snapshot, st raft.HardState, size int64) error {
 	_ = w.logFile.Close()
-	f, err := os.OpenFile(w.path(logFileName), os.O_RDWR, 0o644)
+	f, err := w.dir.OpenFile(w.path(logFileName), os.O_RDWR, 0o644)
 	if err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot open the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot open the log")
 	}
 	if _, err := f.Seek(size, io.SeekStart); err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot seek in the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot seek in the log")
 	}
 	w.logFile = f
 	w.logSize = size
@@ -336,8 +420,11 @@
 
 // Close closes the files without a sync.
 func (w *WAL) Close() {
-	_ = w.logFile.Close()
-	_ = w.syncedFile.Close()
+	for _, f := range []disk.File{w.logFile, w.syncedFile} {
+		if f != nil {
+			_ = f.Close()
+		}
+	}
 }
 
 // appendFrame appends the record of a payload to b.
@@ -348,42 +435,20 @@
 }
 
 // replaceFile atomically replaces a file with synced contents.
-func replaceFile(dir, name string, data []byte) error {
-	tmp := filepath.Join(dir, name+".new")
-	f, err := os.Create(tmp)
-	if err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot create "+name)
-	}
-	if _, err = f.Write(data); err == nil {
-		err = f.Sync()
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
+func replaceFile(dir disk.Folder, name string, data []byte) error {
+	if err := dir.ReplaceFile(name, data); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot replace "+name)
 	}
-	if err == nil {
-		err = os.Rename(tmp, filepath.Join(dir, name))
-	}
-	if err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot replace "+name)
-	}
-	return syncDir(dir)
+	return nil
 }
 
 // syncDir syncs a directory, which persists renames in it.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot open the data directory")
-	}
-	defer func() { _ = d.Close() }()
-	if err := d.Sync(); err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot sync the data directory")
+func syncDir(dir disk.Folder) error {
+	if err := dir.Sync(); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot sync the data directory")
 	}
 	return nil
 }
 
 // State returns the last saved state.
 func (w *WAL) State() raft.HardState { return w.contents.State }
-
-// WriteFileAtomic atomically writes a file to a directory and syncs it.
-func WriteFileAtomic(dir, name string, data []byte) error { return replaceFile(dir, name, data) }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -115,3 +116,80 @@
 		})
 	}
 }
+
+// TestSavesAfterCrashBetweenSnapshotAndLogAreKept guards against the loss of entries that are
+// saved after Open found a newer snapshot with an older log.
+func TestSavesAfterCrashBetweenSnapshotAndLogAreKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		index, term uint64
+		emptyLog    bool
+	}{
+		"the log contains the snapshot's last entry": {5, 1, false},
+		"the log diverges from the snapshot":         {5, 2, false},
+		"the log ends before the snapshot":           {20, 2, false},
+		"the log is empty":                           {20, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			dir := writeTestLog(t)
+			if c.emptyLog {
+				g.Expect(os.RemoveAll(dir)).To(gomega.Succeed())
+			}
+			w, _, err := Open(dir)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			old := map[string][]byte{}
+			for _, file := range []string{logFileName, syncedFileName} {
+				old[file], err = os.ReadFile(filepath.Join(dir, file))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			g.Expect(w.Reset(raft.Snapshot{Index: c.index, Term: c.term}, raft.HardState{Term: 2}, nil)).To(gomega.Succeed())
+			w.Close()
+			for file, contents := range old {
+				g.Expect(os.WriteFile(filepath.Join(dir, file), contents, 0o644)).To(gomega.Succeed())
+			}
+			w, got, err := Open(dir)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			next := c.index + uint64(len(got.Entries)) + 1
+			saved := append(got.Entries, testEntries(next, next+2, 2)...)
+			g.Expect(w.Save(&raft.Ready{Entries: testEntries(next, next+2, 2)})).To(gomega.Succeed())
+			w.Close()
+			_, got, err = Open(dir)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(got.Entries).To(gomega.Equal(saved))
+		})
+	}
+}
+
+// TestMissingSnapshotIsDetected guards against taking a log without the snapshot that it
+// continues for an empty one.
+func TestMissingSnapshotIsDetected(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := writeTestLog(t)
+	g.Expect(os.Remove(filepath.Join(dir, snapshotFileName))).To(gomega.Succeed())
+	_, _, err := Open(dir)
+	g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.Corrupt))
+}
+
+// TestTornSyncedSizeIsIgnored guards against a synced size that a torn write mixed from two
+// others: if it were higher than both, a sound log would count as corrupt.
+func TestTornSyncedSizeIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var written [][]byte
+	for _, base := range []uint64{0, 1, 2, 255, 256, 257, 511, 512, 4096, 65536} {
+		for _, size := range []int64{0, 1, 255, 256, 257, 511, 512, 4095, 4097, 65535, 65537} {
+			written = append(written, encodeSyncedSize(base, size))
+		}
+	}
+	for _, before := range written {
+		for _, after := range written {
+			for cut := range after {
+				torn := slices.Concat(after[:cut], before[cut:])
+				if slices.Equal(torn, before) || slices.Equal(torn, after) {
+					continue
+				}
+				_, _, ok := decodeSyncedSize(torn)
+				g.Expect(ok).To(gomega.BeFalse(), "%x from %x and %x", torn, before, after)
+			}
+		}
+	}
+}
