--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -83,6 +83,14 @@
 	// of it, in milliseconds.
 	HeardVersion      uint64 `json:"config_heard_version"`
 	ActivationDelayMs int64  `json:"config_late_ms"`
+	// ConfigConfirmedMs is how long ago a quorum of replicas confirmed that the version in
+	// force, or an older one, was the newest, in milliseconds, -1 for never. Nodes ask for it
+	// to read the current settings, and all the time with Options.KeyTrust.
+	ConfigConfirmedMs int64 `json:"config_confirmed_ms"`
+	// ConfigDoubtMs is for how long the version in force may have been outdated, in
+	// milliseconds, and ConfigDoubt why; 0 and "" if it is current as far as the node knows.
+	ConfigDoubtMs int64  `json:"config_doubt_ms"`
+	ConfigDoubt   string `json:"config_doubt,omitempty"`
 	// Replicas is the number of replicas that the node knows.
 	Replicas int `json:"replicas_known"`
 	// UnresponsiveAddresses is the number of unresponsive addresses that the node still probes.
@@ -147,10 +155,19 @@
 
 // GroupStatus is the state of one replica group as seen by one replica.
 type GroupStatus struct {
-	Group   int    `json:"group"`
-	Leads   bool   `json:"leads"`
-	Leader  string `json:"leader,omitempty"`
-	Applied uint64 `json:"applied"`
+	Group int  `json:"group"`
+	Leads bool `json:"leads"`
+	// Leader is the address of the known leader and LeaderID its identity. Term grows with
+	// each election.
+	Leader   string `json:"leader,omitempty"`
+	LeaderID string `json:"leader_id,omitempty"`
+	Term     uint64 `json:"term"`
+	// LeaderlessMs is how long this replica, a member of the group, has known no leader, in
+	// milliseconds. SilentVoters are the voters from which it has not heard for
+	// SuspectAfter as the leader, or since it knows none.
+	LeaderlessMs int64         `json:"leaderless_ms,omitempty"`
+	SilentVoters []SilentVoter `json:"silent_voters,omitempty"`
+	Applied      uint64        `json:"applied"`
 	// ToleratesFailure reports, on the leader, whether the group can still commit if
 	// one more replica fails. RepairMs is how long it last could not, in milliseconds.
 	ToleratesFailure bool  `json:"bears_loss"`
@@ -178,6 +195,12 @@
 		SilentConnections: n.peers.silentConnections(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.droppedCounts(),
 		Quarantined: n.quarantine.status(),
 	}
+	s.ConfigConfirmedMs = -1
+	if age, ok := n.confirmationAge(); ok {
+		s.ConfigConfirmedMs = age.Milliseconds()
+	}
+	doubt, reason := n.settingsDoubtStatus()
+	s.ConfigDoubtMs, s.ConfigDoubt = doubt.Milliseconds(), reason
 	c := &n.control.counter
 	s.Control = ControlBytes{n.stats.controlBytesIn.Load() + c.In.Load(), n.stats.controlBytesOut.Load() + c.Out.Load()}
 	for name, d := range v.domains {
@@ -228,6 +251,13 @@
 		gs.SavingMs = time.Duration(g.saveTime.Load()).Milliseconds()
 		gs.Stalled = g.stalled.Load()
 		gs.WriteRefusedMs = g.writeRefusedFor().Milliseconds()
+		gs.Term, gs.LeaderlessMs = g.term.Load(), time.Duration(g.leaderlessFor.Load()).Milliseconds()
+		if id := g.leaderID.Load(); id != nil {
+			gs.LeaderID = *id
+		}
+		if silent := g.silentVoters.Load(); silent != nil {
+			gs.SilentVoters = *silent
+		}
 		gs.RepairMs = time.Duration(g.lastRepairTime.Load()).Milliseconds()
 		if conf := g.conf.Load(); conf != nil {
 			for _, p := range conf.Voters {
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,8 @@
 	retry *writeRetry
 	// stall records which disks are stalled.
 	stall diskStalls
+	// leaderWatch tracks how long no leader has been known.
+	leaderWatch leaderWatch
 
 	leaderAddr atomic.Pointer[string]
 	leads      atomic.Bool
@@ -86,6 +89,12 @@
 	// writeRefusedSince is when the disk refused the first of the current series of
 	// failed writes, on the node's clock, and 0 while it accepts writes.
 	writeRefusedSince atomic.Int64
+	// term and leaderID are those of the core. leaderlessFor is how long this replica has
+	// known no leader, in nanoseconds, and silentVoters are the voters that it misses.
+	term          atomic.Uint64
+	leaderID      atomic.Pointer[string]
+	leaderlessFor atomic.Int64
+	silentVoters  atomic.Pointer[[]SilentVoter]
 }
 
 // pendingProposal is a proposed command that awaits its result. done is closed
@@ -152,6 +161,7 @@
 	g.ticks++
 	g.checkDiskStalls()
 	g.retryWrite()
+	g.checkLeader()
 	if g.core.Role() != raft.Leader {
 		g.settled.Store(true)
 		g.vulnerableSince = time.Time{}
@@ -288,8 +298,11 @@
 	g.leads.Store(g.core.Role() == raft.Leader)
 	conf := g.core.Conf()
 	g.conf.Store(&conf)
-	addr := g.replicas.memberAddr(conf, g.core.Leader())
+	leader := g.core.Leader()
+	addr := g.replicas.memberAddr(conf, leader)
 	g.leaderAddr.Store(&addr)
+	g.leaderID.Store(&leader)
+	g.term.Store(g.core.Term())
 	if role := g.core.Role(); role != g.role {
 		if role == raft.Leader || g.role == raft.Leader {
 			g.replicas.node.logEvent("replica", "Group "+formatUint(uint64(g.id))+": this replica is "+role.String()+" in term "+formatUint(g.core.Term())+".")
@@ -342,18 +355,21 @@
 	g.writer.jobs.Offer(writeJob{reset: &logReset{snapshot: snap, entries: g.core.EntriesAfterSnapshot()}})
 }
 
+// ticksToDuration converts ticks of the core; math.MaxInt ticks remain the longest duration.
+func ticksToDuration(ticks int) time.Duration {
+	return time.Duration(min(int64(ticks), math.MaxInt64/int64(raftTickInterval))) * raftTickInterval
+}
+
 // membershipState returns the input of the membership decision.
 func (g *group) membershipState() repair.GroupStatus {
 	conf := g.core.Conf()
 	health := map[string]repair.Health{}
 	for _, p := range append(append([]raft.Peer(nil), conf.Voters...), conf.Learners...) {
-		if ticks, lag, ok := g.core.PeerStatus(p.ID); ok {
-			if conf.IsVoter(p.ID) {
-				// A voter whose disk confirms nothing counts as unresponsive; a learner may
-				// be loading a large snapshot.
-				ticks = max(ticks, g.core.UnsavedTicks(p.ID))
+		if silent, lag, ok := g.core.PeerStatus(p.ID); ok {
+			health[p.ID] = repair.Health{
+				SilentFor: ticksToDuration(silent), UnsavedFor: ticksToDuration(g.core.UnsavedTicks(p.ID)),
+				SavedAgo: ticksToDuration(g.core.SavedTicks(p.ID)), Lag: lag,
 			}
-			health[p.ID] = repair.Health{SilentFor: time.Duration(ticks) * raftTickInterval, Lag: lag}
 		}
 	}
 	return repair.GroupStatus{Conf: conf, LeaderID: g.replicas.id, Health: health, Candidates: g.replicas.verifiedReplicas()}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,6 +110,7 @@
 	replicas *replicas
 	quotas   *quotas
 	pauses   pauseDetector
+	doubts   doubtTracker
 	// startupWaiters counts the requests that wait while the node finds the instances.
 	startupWaiters atomic.Int64
 
@@ -294,10 +295,12 @@
 	}
 }
 
-// maintenanceLoop expires leases, tracks overloads and prunes the quarantine.
+// maintenanceLoop expires leases, tracks overloads and the age of the settings, and prunes the
+// quarantine.
 func (n *Node) maintenanceLoop() {
 	n.runEvery(maintenanceInterval, func(now time.Time) {
 		n.pauses.tick(n.clock(), now)
+		n.trackSettingsDoubt(n.clock())
 		n.expireLease(now)
 		n.serverReports.expire(n.clock())
 		n.trackOverload(now)
@@ -479,9 +482,9 @@
 	n.recordEvent(part, text)
 }
 
-// warnEvent logs a warning and keeps it for umberctl events.
-func (n *Node) warnEvent(part, text string) {
-	n.warn(part, text)
+// warnEvent logs an event at level warn and keeps it for umberctl events.
+func (n *Node) warnEvent(part, text string, kv ...any) {
+	n.warn(part, text, kv...)
 	n.recordEvent(part, text)
 }
 
--- a/raft/core.go
+++ b/raft/core.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -44,6 +45,10 @@
 	// unsavedTicks counts the ticks during which the replica lacked entries and confirmed
 	// none of them.
 	unsavedTicks int
+	// savedInTerm is set once the replica has confirmed an entry of the leader's term, and
+	// savedTicks counts the ticks since the last such confirmation.
+	savedInTerm bool
+	savedTicks  int
 	// snapshotWaitTicks counts down the ticks until a snapshot may be sent again.
 	snapshotWaitTicks int
 }
@@ -68,6 +73,10 @@
 	confIndex uint64
 	leaderID  string
 
+	// ticks counts all ticks, and lastHeard is its value at the last message of each member.
+	ticks     int
+	lastHeard map[string]int
+
 	// electionElapsed counts the ticks since the election timer was reset; on a leader, since
 	// the last quorum check.
 	electionElapsed  int
@@ -103,7 +112,7 @@
 // New returns a replica restored from its persisted state, snapshot and the entries after
 // the snapshot. A new replica has none of them and waits for a leader to add it to a group.
 func New(o Options, st HardState, snap Snapshot, entries []Entry) *Core {
-	c := &Core{options: o, state: st, savedState: st}
+	c := &Core{options: o, state: st, savedState: st, lastHeard: map[string]int{}}
 	c.log = raftLog{snapshot: snap, entries: entries, commitIndex: max(st.Commit, snap.Index), appliedIndex: snap.Index}
 	c.log.stableIndex = c.log.lastIndex()
 	c.log.commitIndex = min(c.log.commitIndex, c.log.lastIndex())
@@ -151,6 +160,16 @@
 	return 0
 }
 
+// SavedTicks returns the number of ticks since another replica last confirmed an entry of this
+// leader's term: entries that it had before say nothing about its disk now. It returns
+// math.MaxInt if there is no such confirmation or this replica is not the leader.
+func (c *Core) SavedTicks(id string) int {
+	if p := c.peers[id]; c.role == Leader && p != nil && p.savedInTerm {
+		return p.savedTicks
+	}
+	return math.MaxInt
+}
+
 // PeerStatus returns the ticks since the leader last heard from a replica and the number of
 // entries that the replica lacks; ok is false if this replica is not the leader or does not
 // know the other. The lag of a replica that has confirmed nothing is math.MaxUint64.
@@ -165,6 +184,11 @@
 	return peer.silentTicks, c.log.lastIndex() - peer.matchIndex, true
 }
 
+// TicksSinceHeard returns the ticks since the last message of another replica, or since the
+// start of this one if there was none. Followers hear nothing of each other while a leader
+// is known.
+func (c *Core) TicksSinceHeard(id string) int { return c.ticks - c.lastHeard[id] }
+
 // Campaign starts an election immediately, for tests and groups of one replica.
 func (c *Core) Campaign() { c.preCampaign() }
 
@@ -329,6 +353,7 @@
 // appended and is reverted when its entry is truncated.
 func (c *Core) refreshConf() {
 	c.conf, c.confIndex = c.log.lastConf()
+	maps.DeleteFunc(c.lastHeard, func(id string, _ int) bool { return !c.conf.IsVoter(id) && !c.conf.IsLearner(id) })
 	if c.role != Leader {
 		return
 	}
--- a/raft/election.go
+++ b/raft/election.go
@@ -2,6 +2,7 @@
 
 // Tick advances the replica's logical clock by one tick.
 func (c *Core) Tick() {
+	c.ticks++
 	c.electionElapsed++
 	if c.saving {
 		c.saveTicks++
@@ -20,6 +21,7 @@
 	for _, p := range c.peers {
 		p.silentTicks++
 		p.unsavedTicks++
+		p.savedTicks++
 		if p.matchIndex == c.log.lastIndex() {
 			p.unsavedTicks = 0
 		}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -7,6 +7,7 @@
 	if m.To != c.options.ID {
 		return
 	}
+	c.recordHeard(m.From)
 	switch m.Type {
 	case MsgPreVote:
 		if !c.hasActiveLeader() {
@@ -35,6 +36,14 @@
 	c.stepCurrentTerm(m)
 }
 
+// recordHeard records a message of another replica. Only members are recorded, which bounds
+// the map.
+func (c *Core) recordHeard(id string) {
+	if c.conf.IsVoter(id) || c.conf.IsLearner(id) {
+		c.lastHeard[id] = c.ticks
+	}
+}
+
 // rejectStaleLeader informs a leader of an earlier term of the current one.
 func (c *Core) rejectStaleLeader(m Message) {
 	switch m.Type {
@@ -177,6 +186,9 @@
 	}
 	p.matchIndex = index
 	p.unsavedTicks = 0
+	if t, ok := c.log.term(index); ok && t == c.state.Term {
+		p.savedInTerm, p.savedTicks = true, 0
+	}
 	p.nextIndex = max(p.nextIndex, index+1)
 	c.advanceCommit()
 	c.requestTakeover()
