relay: accept connections again after a failed accept

All processes ran, and no disk refused anything.

Its listener stayed, with 4097 connections that nobody took (ss -ltn, the control relays of two of three replicas), so two replicas were cut off for good.

The relay now retries as the nodes do.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/sock"
 )
 
 // Relay forwards connections and datagrams to one target address. Its methods
@@ -52,6 +53,9 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "cannot listen")
 	}
+	// Without retries one failed accept, as when the process has no more file descriptors, would
+	// cut the target off for good.
+	ln = sock.NewRetryListener(ln, func(error) {}, func() {})
 	r := &Relay{target: target, listener: ln, udp: udp, conns: map[*connPair]struct{}{}, udpSockets: map[string]*net.UDPConn{}}
 	go r.acceptLoop()
 	go r.forwardDatagrams()
