--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -208,8 +208,11 @@
 // groupFolder returns the name of a group's folder in the data folder.
 func groupFolder(id int) string { return groupPrefix + strconv.Itoa(id) }
 
-// wrapLog applies the test hook Options.wrapLog, if it is set.
+// wrapLog applies the drill Options.WriteRefusal and the test hook Options.wrapLog, if set.
 func (r *replicas) wrapLog(log replicaLog) replicaLog {
+	if r.node.opt.WriteRefusal != "" {
+		log = &fullDiskLog{log, r.node.opt.WriteRefusal}
+	}
 	if r.node.opt.wrapLog == nil {
 		return log
 	}
