internal/node: set a damaged folder aside so that no cut leaves half of it

A replica with a damaged folder could come back under its old identity with groups that were empty, if its machine lost power while the folder was set aside: it would vote again in a term in which it had voted. Or a group of the old identity came under the new one.

Cause: the items were moved one by one, the groups before the identity, and nothing was synced. Only the settings' group was looked for when an identity was missing.

Evidence: TestSettingAsideThatIsCutOffMixesNoIdentities damages each group in turn, ends the start at each call to the disk, and two more starts at random ones, by a kill or a loss of power. It failed at the second call: the start after it succeeded under the old identity.

--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -115,25 +115,46 @@
 	return f
 }
 
-// moveAside moves the contents of the folder into a new subfolder.
+// moveAside moves the contents of the folder into a new subfolder. The identity goes
+// first, durably: with a part of its groups it would be taken for sound, while groups
+// without an identity are set aside again.
 func moveAside(dir disk.Folder) error {
 	target := dir.Folder(damagedPrefix + strconv.FormatInt(time.Now().UnixNano(), 36))
-	if err := target.Create(); err != nil {
+	err := target.Create()
+	if err == nil {
+		err = dir.Sync()
+	}
+	if err == nil {
+		err = moveItems(dir, target, func(name string) bool { return name == identityFile })
+	}
+	if err == nil {
+		err = moveItems(dir, target, func(name string) bool { return !strings.HasPrefix(name, damagedPrefix) })
+	}
+	if err != nil {
 		return fault.Wrap(fault.DiskRefused, err, "cannot set the data folder aside")
 	}
-	names, err := dir.Names()
+	return nil
+}
+
+// moveItems durably moves the items whose names match into another folder. A loss of power
+// meanwhile may leave an item in either folder, in both or in none.
+func moveItems(from, to disk.Folder, matches func(name string) bool) error {
+	names, err := from.Names()
 	if err != nil {
-		return fault.Wrap(fault.DiskRefused, err, "cannot read the data folder")
+		return err
 	}
 	for _, name := range names {
-		if strings.HasPrefix(name, damagedPrefix) {
+		if !matches(name) {
 			continue
 		}
-		if err := dir.Rename(dir.Join(name), target.Join(name)); err != nil {
-			return fault.Wrap(fault.DiskRefused, err, "cannot set the data folder aside")
+		if err := from.Rename(from.Join(name), to.Join(name)); err != nil {
+			return err
 		}
 	}
-	return nil
+	if err := to.Sync(); err != nil {
+		return err
+	}
+	return from.Sync()
 }
 
 // openGroups opens all groups in the data folder, which it creates if necessary. If it
@@ -233,9 +254,13 @@
 	if err != nil {
 		return fault.Wrap(fault.DiskRefused, err, "cannot read the data folder")
 	}
-	if slices.Contains(names, groupFolder(configGroup)) {
+	if slices.ContainsFunc(names, func(name string) bool { return strings.HasPrefix(name, groupPrefix) }) {
 		return fault.New(fault.Corrupt, "the replica's identity is missing")
 	}
+	// Groups that a killed start has set aside must not come back under a new identity.
+	if err := dir.Sync(); err != nil {
+		return fault.Wrap(fault.DiskRefused, err, "cannot sync the data folder")
+	}
 	// A start that was killed may have created the data folder and its parents without a
 	// sync. A folder that this process may not sync was made by somebody else.
 	for path := dir.Path; path != filepath.Dir(path); path = filepath.Dir(path) {
--- a/internal/node/replica_disk_test.go
+++ b/internal/node/replica_disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -201,3 +202,66 @@
 		}
 	}
 }
+
+// damageSnapshot overwrites the snapshot of a group.
+func damageSnapshot(g *gomega.WithT, d *disktest.Disk, group int) {
+	dir := d.Folder(testDataFolder).Folder(groupFolder(group))
+	g.Expect(dir.ReplaceFile("snapshot", []byte("damaged"))).To(gomega.Succeed())
+}
+
+// Guards against a damaged folder that is set aside in part: the old identity without its groups,
+// or a group of the old identity under the new one. The starts are cut off at any call to the
+// disk, several in a row.
+func TestSettingAsideThatIsCutOffMixesNoIdentities(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const mixes, cutStarts = 8, 3
+	formed, oldID := formedDisk(g)
+	groups := DefaultOptions().Shards + 1
+	r := rand.New(rand.NewPCG(1, 1))
+	for damaged := range groups {
+		for stop, ended := 0, false; !ended; stop++ {
+			for range mixes {
+				d := formed.LoseUnsynced()
+				damageSnapshot(g, d, damaged)
+				after := stop
+				for cut := range cutStarts {
+					d.StopAfter(after)
+					done := newTestReplicas(g, d).openOrSetAside() == nil
+					if cut == 0 {
+						ended = done
+					}
+					if r.IntN(3) == 0 {
+						d.Resume()
+					} else {
+						d = d.PowerLoss(r)
+					}
+					after = r.IntN(2 * (stop + 1))
+				}
+				last := newTestReplicas(g, d)
+				g.Expect(last.openOrSetAside()).To(gomega.Succeed())
+				g.Expect(last.id).NotTo(gomega.Equal(oldID), "call %d", stop)
+				for _, group := range last.groups {
+					g.Expect(group.core.Conf().Voters).To(gomega.BeEmpty(), "call %d, group %d", stop, group.id)
+				}
+				if !ended {
+					continue
+				}
+				for _, name := range []string{identityFile, groupFolder(0), groupFolder(groups - 1)} {
+					g.Expect(setAside(g, d, name)).To(gomega.BeTrue(), name)
+				}
+			}
+		}
+	}
+}
+
+// setAside reports whether a name is in one of the folders that were set aside.
+func setAside(g *gomega.WithT, d *disktest.Disk, name string) bool {
+	for _, folder := range damagedFolders(g, d) {
+		names, err := d.Folder(testDataFolder).Folder(folder).Names()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		if slices.Contains(names, name) {
+			return true
+		}
+	}
+	return false
+}
