internal/wal: load records of any size that was saved

Save and Reset wrote a record of more than 64 MiB, and the next Open took it for corrupt: a sound disk counted as lost. The limit guarded nothing, as the length is compared with the file's size.

--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -28,9 +28,7 @@
 	snapshotFileName = "snapshot"
 	syncedFileName   = "synced"
 	headerBytes      = 8
-	// maxRecordBytes limits the payload of a record.
-	maxRecordBytes  = 64 << 20
-	syncedFileBytes = 16 + crc32.Size
+	syncedFileBytes  = 16 + crc32.Size
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -175,15 +173,15 @@
 	if len(data) < headerBytes {
 		return nil, 0
 	}
-	n := int(binary.BigEndian.Uint32(data))
-	if n > maxRecordBytes || len(data) < headerBytes+n {
+	n := int64(binary.BigEndian.Uint32(data))
+	if int64(len(data)) < headerBytes+n {
 		return nil, 0
 	}
 	payload := data[headerBytes : headerBytes+n]
 	if crc32.Checksum(payload, castagnoli) != binary.BigEndian.Uint32(data[4:]) {
 		return nil, 0
 	}
-	return payload, headerBytes + n
+	return payload, headerBytes + int(n)
 }
 
 // replay reads the log and returns the size of its valid records.
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -193,3 +193,18 @@
 		}
 	}
 }
+
+// TestLargeRecordsAreLoaded guards against saving what the next Open takes for corrupt.
+func TestLargeRecordsAreLoaded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	data := make([]byte, 65<<20)
+	d := newCrashDisk()
+	w, _, err := OpenFolder(d.Folder(crashFolder))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(w.Reset(raft.Snapshot{Index: 1, Term: 1, Data: data}, raft.HardState{Term: 1}, nil)).To(gomega.Succeed())
+	g.Expect(w.Save(&raft.Ready{Entries: []raft.Entry{{Index: 2, Term: 1, Data: data}}})).To(gomega.Succeed())
+	_, got, err := OpenFolder(d.Folder(crashFolder))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.Snapshot.Data).To(gomega.HaveLen(len(data)))
+	g.Expect(got.Entries).To(gomega.HaveLen(1))
+}
