--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -354,7 +354,7 @@
 	}
 	w.buf = appendFrame(w.buf[:0], payload)
 	if _, err := w.logFile.Write(w.buf); err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot write the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot write the log")
 	}
 	w.logSize += int64(len(w.buf))
 	if stateOnly && termVoteOf(*rec.State) == w.syncedVote {
@@ -362,7 +362,7 @@
 	}
 	w.callBeforeSync()
 	if err := w.logFile.Sync(); err != nil {
-		return fault.Wrap(fault.Corrupt, err, "cannot sync the log")
+		return fault.Wrap(fault.DiskRefused, err, "cannot sync the log")
 	}
 	w.syncedVote = termVoteOf(w.contents.State)
 	return w.writeSyncedSize()
