Replicas: the voters on disk are addresses at which other nodes are looked for

A replica that restarts with a disk knows the addresses of all voters, yet discovery and the search for a leader used the configured seeds alone. After all replicas had restarted with seeds of machines that are gone, they formed a quorum by raft, but none of them saw another one as a replica or exchanged anything with another failure domain.

The voters' addresses now count as configured ones, for discovery and while no replica is known; identity checks already used them.

--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -356,7 +356,7 @@
 func (g *gossiper) dueSyncTargets() ([]discovery.Target, time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.syncScheduler.SetBootstrap(g.node.bootstrap())
+	g.syncScheduler.SetBootstrap(g.node.entryAddrs())
 	targets := g.syncScheduler.DueTargets(g.node.clock())
 	return targets, max(0, g.syncScheduler.NextDue()-g.node.clock())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -182,6 +183,12 @@
 // bootstrap returns the configured control addresses of other nodes.
 func (n *Node) bootstrap() []string { return *n.bootstrapAddrs.Load() }
 
+// entryAddrs returns the control addresses at which other nodes may be found although no
+// node is known: the configured ones and, on a replica, those of the voters on its disk.
+func (n *Node) entryAddrs() []string {
+	return slices.Concat(n.bootstrap(), n.replicas.voterAddrs())
+}
+
 // clock returns the monotonic time since the node was created.
 func (n *Node) clock() time.Duration { return time.Since(n.start) }
 
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -202,16 +202,8 @@
 // voters for replicas, and returns those that are not known yet.
 func (r *replicas) identifyReplicas(known []raft.Peer) []raft.Peer {
 	asked := map[string]bool{r.node.opt.AdvertiseControl: true}
-	addrs := slices.Clone(r.node.bootstrap())
-	for _, g := range r.groups {
-		if conf := g.conf.Load(); conf != nil {
-			for _, p := range conf.Voters {
-				addrs = append(addrs, p.Addr)
-			}
-		}
-	}
 	var out []raft.Peer
-	for _, addr := range addrs {
+	for _, addr := range r.node.entryAddrs() {
 		if asked[addr] {
 			continue
 		}
@@ -226,6 +218,20 @@
 	return out
 }
 
+// voterAddrs returns the control addresses of the groups' voters.
+func (r *replicas) voterAddrs() []string {
+	var out []string
+	for _, g := range r.groups {
+		if conf := g.conf.Load(); conf != nil {
+			for _, p := range conf.Voters {
+				out = append(out, p.Addr)
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // leadsAny reports whether this node leads a group.
 func (r *replicas) leadsAny() bool {
 	for _, g := range r.groups {
--- a/internal/node/replica_restart_test.go
+++ b/internal/node/replica_restart_test.go
@@ -66,3 +66,20 @@
 		t.Logf("active on all nodes %s after its acceptance", time.Since(accepted).Round(time.Millisecond))
 	}
 }
+
+// TestReplicasWithStaleSeedsFindEachOther guards against replicas that restart together after
+// their seeds have gone and that form a quorum, yet stay unknown to each other's nodes.
+func TestReplicasWithStaleSeedsFindEachOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replicas := startReplicas(t, "a", "b", "c")
+	for _, r := range replicas {
+		r.Close()
+	}
+	for i, r := range replicas {
+		r.opt.Bootstrap, r.opt.StartWait = []string{freeAddr(t)}, Duration{time.Second}
+		replicas[i] = r.restart()
+	}
+	for _, r := range replicas {
+		g.Eventually(func() int { return len(r.view.Load().replicas) }, "10s", "10ms").Should(gomega.Equal(len(replicas)), r.opt.Name)
+	}
+}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -133,16 +133,15 @@
 // replyMargin is the extra time for a reply to arrive after the replica's own timeout.
 const replyMargin = 20 * time.Millisecond
 
-// replicaAddrs returns the control addresses of the known replicas, or the bootstrap
-// addresses if none is known.
+// replicaAddrs returns the control addresses of the known replicas or, if none is known, the
+// addresses at which replicas may be found.
 func (n *Node) replicaAddrs() []string {
 	var out []string
 	for _, p := range n.view.Load().replicas {
 		out = append(out, p.Addr)
 	}
 	if len(out) == 0 {
-		// The bootstrap addresses may include replicas.
-		out = append(out, n.bootstrap()...)
+		out = n.entryAddrs()
 	}
 	return out
 }
