discovery: draws of a fleet that loses all power, with stale seeds

All processes stop at once and start again without memory of each other. One replica has lost its disk; 0, 1 or 2 of the three seeds lead to nobody or to an ordinary node, the same seeds for all processes or each process its own. The simulation now lets the node that is asked in a sync fetch settings of the one that asks, as the daemon does.

No draw has the elections, the syncs to disk or the load of real processes.

A try that was dropped: a process without a known member also asked those that had asked it.

--- a/discovery/sim_test.go
+++ b/discovery/sim_test.go
@@ -291,8 +291,10 @@
 	var theirs gossip.Digest
 	var version int
 	mine := p.gossip.Digest()
+	sent := p.settingsVersion
 	serve := func(q *simProcess) {
 		answer.Domain, version = q.domain, q.settingsVersion
+		q.fetchNewerSettings(p.addr, sent)
 		if q.domain != p.domain {
 			answer.Seeds = slices.Concat(q.controlAddrs(p.domain), q.requesters[p.domain])
 			q.recordRequester(p)
