Peers: an instance marked unreachable during a probe is probed again

An instance that cannot be reached gets no requests until a probe of its address succeeds. Each address has one entry, with the observations of one incarnation. If a request found the next incarnation at the same address unreachable while a probe for the earlier one was under way, the answer to that probe removed the entry of the later one: it was never probed and got no requests until it left the routing table, while it looked healthy everywhere. Only the entry that was probed is removed now.

Before, TestInstanceMarkedDuringAProbeIsProbedAgain failed: no second probe within 5 s. It was found by reading; that a fleet met it was not seen.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -41,7 +41,8 @@
 		go func() {
 			defer wg.Done()
 			if p.client(k.(string), timeout).Probe(timeout) {
-				p.unreachable.Delete(k)
+				// A later incarnation marked meanwhile must be probed itself.
+				p.unreachable.CompareAndDelete(k, v)
 				v.(*route.Observations).SetUnreachable(false)
 			}
 		}()
