route: a draining refusal counts for 2 s, not until the next event

An instance that refuses a request as draining gets no further ones. Only the next rebuild of the routing table ended that, and the table is rebuilt when a member or summary changes. If the refusal arrived after the news that the drain had ended, as when its reader was held up meanwhile, the sender left out a healthy instance until something else in the fleet changed, in calm for hours. The refusal now counts for 2 s; then one request asks again, which an instance that still drains refuses unexecuted.

Before, TestDrainingRefusalIsForgotten failed: not usable after 2 s. The property test of the picker reads the state by the same method as the picker. Found by reading; that a fleet met it was not seen.

--- a/route/instance.go
+++ b/route/instance.go
@@ -51,7 +51,7 @@
 	ejectedUntil        atomic.Int64
 	probing             atomic.Bool
 	meanLatency         atomic.Uint64 // float64 bits of a moving mean, in seconds
-	draining            atomic.Bool
+	drainingUntil       atomic.Int64
 	failureShareBits    atomic.Uint64 // float64 bits of the moving share of failed attempts
 	failureShareAt      atomic.Int64
 	unreachable         atomic.Bool
@@ -78,7 +78,23 @@
 
 // SetDraining records the announced draining state, which overrides that of earlier
 // refusals.
-func (o *Observations) SetDraining(draining bool) { o.draining.Store(draining) }
+func (o *Observations) SetDraining(draining bool) {
+	until := int64(0)
+	if draining {
+		until = math.MaxInt64
+	}
+	o.drainingUntil.Store(until)
+}
+
+// drainingFor is how long an instance that refused a request as draining gets no further ones.
+// Gossip tells of the drain and of its end much sooner. If the refusal arrives after the end was
+// told, nothing else would end the observation.
+const drainingFor = 2 * time.Second
+
+// isDraining reports whether the instance is believed to be draining.
+func (o *Observations) isDraining(now time.Duration) bool {
+	return now < time.Duration(o.drainingUntil.Load())
+}
 
 // InFlight returns the number of requests that this node has in flight at the instance.
 func (o *Observations) InFlight() int { return int(o.inflight.Load()) }
@@ -120,7 +136,7 @@
 		o.admissionLevelAt.Store(int64(now))
 	}
 	if r.Draining {
-		o.draining.Store(true)
+		o.drainingUntil.Store(int64(now + drainingFor))
 	}
 	if r.Failed {
 		o.recordFailure(now, e)
@@ -232,7 +248,7 @@
 // isUsable reports whether a request may go to the instance: it is neither draining nor
 // unreachable, and not ejected unless it is due for a probe and not being probed.
 func (o *Observations) isUsable(now time.Duration) bool {
-	if o.draining.Load() || o.unreachable.Load() {
+	if o.isDraining(now) || o.unreachable.Load() {
 		return false
 	}
 	if !o.Ejected() {
--- a/route/picker.go
+++ b/route/picker.go
@@ -258,7 +258,7 @@
 	}
 	sum := 0.0
 	for _, in := range ins[:n] {
-		if in.Observed.draining.Load() || in.Observed.unreachable.Load() || in.Observed.Ejected() {
+		if in.Observed.isDraining(q.Now) || in.Observed.unreachable.Load() || in.Observed.Ejected() {
 			sum++
 			continue
 		}
@@ -414,7 +414,7 @@
 // than EjectMax of the instances are ejected: if nearly all fail, the cause is rarely
 // theirs.
 func (q *Query) tooManyEjected(in *Instance, all []*Instance) bool {
-	if in.Observed.draining.Load() || in.Observed.unreachable.Load() {
+	if in.Observed.isDraining(q.Now) || in.Observed.unreachable.Load() {
 		return false
 	}
 	ejected := 0
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -169,7 +169,7 @@
 		if code != fault.None {
 			return
 		}
-		if in == q.Avoid || in.Observed.draining.Load() || !in.Observed.Level(q.Now).Admits(q.Rank, 0) {
+		if in == q.Avoid || in.Observed.isDraining(q.Now) || !in.Observed.Level(q.Now).Admits(q.Rank, 0) {
 			t.Fatalf("picked %s", in.ID)
 		}
 	})
@@ -252,3 +252,20 @@
 	in.Observed.RecordOutcome(now, Outcome{HasLoad: true, Level: l, Limit: 8}, EjectOptions{})
 	return in
 }
+
+// TestDrainingRefusalIsForgotten guards against an instance that gets no requests any more
+// because its refusal arrived after the news that its drain had ended.
+func TestDrainingRefusalIsForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := &Observations{}
+	o.SetDraining(false)
+	o.RecordSend()
+	o.RecordOutcome(time.Second, Outcome{Draining: true}, EjectOptions{})
+	g.Expect(o.isUsable(time.Second + drainingFor/2)).To(gomega.BeFalse())
+	g.Expect(o.isUsable(time.Second + drainingFor)).To(gomega.BeTrue())
+	o.RecordSend()
+	o.RecordOutcome(time.Second+drainingFor, Outcome{Draining: true}, EjectOptions{})
+	g.Expect(o.isUsable(time.Second + drainingFor)).To(gomega.BeFalse())
+	o.SetDraining(false)
+	g.Expect(o.isUsable(time.Second + drainingFor)).To(gomega.BeTrue())
+}
