Quotas: a node does not adopt the confirmation of settings that it lacks

Where keys of workspaces expire without confirmation, the ledger has a quorum confirm its settings and tells the nodes of its failure domain when. A node took that for its own settings, whatever version it had: one whose fetches failed, as of a large document over a slow link, while its small reports reached the ledger, accepted a revoked key without limit, where the limit is there to refuse it. The reply now names the confirmed version, and a node that has an older one does not adopt it. An earlier release names none, and is believed as before.

Found by reading; not seen in a fleet.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -160,10 +160,11 @@
 // the receiver does not hold the ledger.
 type DemandReply struct {
 	Shares []quota.Share
-	// ConfirmedAgo is how long ago a quorum of replicas confirmed the settings in force, if
-	// Confirmed is set.
-	Confirmed    bool
-	ConfirmedAgo time.Duration
+	// ConfirmedAgo is how long ago a quorum of replicas confirmed that no settings are newer
+	// than ConfirmedVersion, if Confirmed is set. An earlier release leaves the version out.
+	Confirmed        bool
+	ConfirmedAgo     time.Duration
+	ConfirmedVersion uint64
 }
 
 // AskRequest asks the ledger of a failure domain for tokens of a workspace.
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -39,10 +39,12 @@
 	ledgerLost atomic.Bool
 	// asking counts the requests that wait for the ledger.
 	asking atomic.Int64
-	// confirmedAt is when a quorum of replicas last confirmed the settings in force in this
-	// failure domain, on the node's clock. It is kept only if keys expire without that.
-	confirmedAt atomic.Int64
-	confirming  atomic.Bool
+	// confirmedAt is when a quorum of replicas last confirmed the settings in force, on the
+	// node's clock, and confirmedVersion is their version or a later one. They are kept only
+	// if keys expire without that.
+	confirmedAt      atomic.Int64
+	confirmedVersion atomic.Uint64
+	confirming       atomic.Bool
 
 	// mu guards everything below. Requests use only the accounts' atomic methods.
 	mu       sync.Mutex
@@ -248,15 +250,28 @@
 	q.ledgerLost.Store(err != nil)
 	if err == nil {
 		q.grant(req, &reply, sent)
-		if reply.Confirmed {
-			q.recordConfirmation(sent - reply.ConfirmedAgo)
-		}
+		q.adoptConfirmation(&reply, sent)
 	}
 	return len(req.Workspaces)
 }
 
-// recordConfirmation records when the settings were confirmed.
-func (q *quotas) recordConfirmation(at time.Duration) {
+// adoptConfirmation records the confirmation that the ledger returned for a report, unless it is
+// of newer settings than this node has.
+func (q *quotas) adoptConfirmation(reply *control.DemandReply, sent time.Duration) {
+	if reply.Confirmed && reply.ConfirmedVersion <= q.node.conf.Load().version {
+		q.recordConfirmation(sent-reply.ConfirmedAgo, reply.ConfirmedVersion)
+	}
+}
+
+// recordConfirmation records when a version of the settings was confirmed.
+func (q *quotas) recordConfirmation(at time.Duration, version uint64) {
+	// The version comes first, so that none is told with the time of a later one.
+	for {
+		old := q.confirmedVersion.Load()
+		if version <= old || q.confirmedVersion.CompareAndSwap(old, version) {
+			break
+		}
+	}
 	for {
 		old := q.confirmedAt.Load()
 		if int64(at) <= old || q.confirmedAt.CompareAndSwap(old, int64(at)) {
@@ -276,7 +291,7 @@
 		sent := q.node.clock()
 		version := q.node.conf.Load().version
 		if reply, ferr := q.node.readCurrentConfig(confirmTimeout); ferr == nil && reply.Version == version {
-			q.recordConfirmation(sent)
+			q.recordConfirmation(sent, version)
 		}
 	}()
 }
@@ -416,6 +431,7 @@
 		*reply = *n.quotas.recordDemand(req)
 		if at := n.quotas.confirmedAt.Load(); at > 0 {
 			reply.Confirmed, reply.ConfirmedAgo = true, n.clock()-time.Duration(at)
+			reply.ConfirmedVersion = n.quotas.confirmedVersion.Load()
 		}
 	}
 	return nil
--- a/internal/node/workspaces_test.go
+++ b/internal/node/workspaces_test.go
@@ -221,9 +221,9 @@
 	useSettings(t, workspaceSettings(5), n)
 	call := func() int { return n.call("kigali/sheets/open", "", nil, withKey("unknown")).status }
 	g.Expect(call()).To(gomega.Equal(http.StatusServiceUnavailable), "no replica has confirmed the settings")
-	n.quotas.recordConfirmation(n.clock())
+	n.quotas.recordConfirmation(n.clock(), 1)
 	g.Expect(call()).To(gomega.Equal(http.StatusUnauthorized))
-	n.quotas.recordConfirmation(time.Second)
+	n.quotas.recordConfirmation(time.Second, 1)
 	g.Eventually(call, "2s", "20ms").Should(gomega.Equal(http.StatusServiceUnavailable))
 }
 
