--- a/internal/node/settings_doubt_test.go
+++ b/internal/node/settings_doubt_test.go
@@ -101,7 +101,7 @@
 	g.Eventually(doubt, 5*time.Second, 10*time.Millisecond).Should(gomega.Equal("no quorum of replicas has confirmed them in time"))
 	g.Expect(n.settingsCurrent(n.conf.Load())).To(gomega.BeTrue(), "requests without a key are judged as before")
 	g.Expect(n.Status().ConfigConfirmedMs).To(gomega.Equal(int64(-1)))
-	n.quotas.recordConfirmation(n.clock())
+	n.quotas.recordConfirmation(n.clock(), n.conf.Load().version)
 	g.Eventually(doubt, 5*time.Second, 10*time.Millisecond).Should(gomega.BeEmpty())
 	g.Expect(n.Status().ConfigConfirmedMs).To(gomega.BeNumerically(">=", 0))
 }
