--- a/raft/core.go
+++ b/raft/core.go
@@ -48,8 +48,9 @@
 	// savedTicks counts the ticks since the last such confirmation.
 	savedInTerm bool
 	savedTicks  int
-	// snapshotWaitTicks counts down the ticks until a snapshot may be sent again.
-	snapshotWaitTicks int
+	// snapshotWaitTicks counts down the ticks until a snapshot may be sent again, and
+	// snapshotWaitElections is the length of that wait in election timeouts.
+	snapshotWaitTicks, snapshotWaitElections int
 }
 
 // pendingRead is a linearizable read that waits for its heartbeat round to be confirmed.
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -514,3 +514,36 @@
 		t.Fatalf("saved %d ticks ago, expected 1", got)
 	}
 }
+
+// A snapshot that was lost must be sent again soon, as the group waits for its learner, but not at
+// a fixed short interval, which would fill a slow link.
+func TestLostSnapshotIsSentAgainAtGrowingIntervals(t *testing.T) {
+	const election = 10
+	conf := Conf{Voters: []Peer{{ID: "a"}}, Learners: []Peer{{ID: "b"}}}
+	o := Options{ID: "a", ElectionTicks: election, HeartbeatTicks: 2, MaxBatchEntries: 4, Rand: rand.New(rand.NewPCG(1, 1))}
+	c := New(o, HardState{Term: 1, Commit: 9}, Snapshot{Index: 9, Term: 1, Conf: conf}, nil)
+	c.Campaign()
+	var sentAt []int
+	for tick := range 15 * election {
+		for rd := c.Ready(); !rd.Empty(); rd = c.Ready() {
+			c.Advance(rd)
+			for _, m := range append(rd.ImmediateMessages, rd.Messages...) {
+				switch m.Type {
+				case MsgSnapshot:
+					sentAt = append(sentAt, tick)
+				case MsgHeartbeat:
+					c.Step(Message{Type: MsgHeartbeatResp, From: "b", To: "a", Term: m.Term, Round: m.Round})
+				}
+			}
+		}
+		c.Tick()
+	}
+	if len(sentAt) < 5 {
+		t.Fatalf("sent at ticks %v, expected at least 5 times", sentAt)
+	}
+	for i, least := range []int{1, 2, 4, 4} {
+		if d := sentAt[i+1] - sentAt[i]; d < least*election || d > (least+1)*election {
+			t.Errorf("sent at ticks %v: interval %d is %d, expected %d election timeouts of %d ticks", sentAt, i+1, d, least, election)
+		}
+	}
+}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -155,7 +155,7 @@
 	if p == nil {
 		return
 	}
-	p.snapshotWaitTicks = 0
+	p.snapshotWaitTicks, p.snapshotWaitElections = 0, 0
 	if m.Reject {
 		if m.Index == p.nextIndex-1 || m.Hint+1 < p.nextIndex {
 			p.nextIndex = max(p.matchIndex+1, m.Hint+1)
@@ -299,17 +299,21 @@
 	c.sendAsLeader(Message{Type: MsgAppend, To: id, Index: prev, LogTerm: term, Commit: c.log.commitIndex, Entries: es})
 }
 
-// snapshotRetryElections is the number of election timeouts before a snapshot is sent again.
-const snapshotRetryElections = 4
+// maxSnapshotWaitElections is the maximum number of election timeouts before a snapshot is sent
+// again. The wait starts at one, as a lost snapshot delays the repair of a group, and grows, as a
+// slow link must not be filled with copies.
+const maxSnapshotWaitElections = 4
 
-// sendSnapshot sends the snapshot unless one was sent recently.
+// sendSnapshot sends the snapshot unless one was sent recently. In either case the next entry is
+// the one after it, so that heartbeat responses keep showing whether the replica lacks it.
 func (c *Core) sendSnapshot(id string, p *progress) {
+	snap := c.log.snapshot
+	p.nextIndex = snap.Index + 1
 	if p.snapshotWaitTicks > 0 {
 		return
 	}
-	p.snapshotWaitTicks = snapshotRetryElections * c.options.ElectionTicks
-	snap := c.log.snapshot
-	p.nextIndex = snap.Index + 1
+	p.snapshotWaitElections = min(max(1, 2*p.snapshotWaitElections), maxSnapshotWaitElections)
+	p.snapshotWaitTicks = p.snapshotWaitElections * c.options.ElectionTicks
 	c.sendAsLeader(Message{Type: MsgSnapshot, To: id, Snapshot: &snap})
 }
 
