--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -38,6 +38,15 @@
 	runSoak(t, limitSeeds, soak.Options{ServerLimits: true})
 }
 
+// refusalSeeds are the seeds of runs in which disks refuse writes.
+var refusalSeeds = []uint64{9500}
+
+// TestSoakWithLostDisksKeepsThePromises checks that a replica counts again once its disk takes
+// writes, so that another disk may be lost, and that a disk may be lost while all nodes are down.
+func TestSoakWithLostDisksKeepsThePromises(t *testing.T) {
+	runSoak(t, refusalSeeds, soak.Options{RefuseWrites: true, LastFault: true})
+}
+
 // runSoak runs each seed and checks that no promise is broken and that more than three
 // quarters of the attempts at running nodes are served.
 func runSoak(t *testing.T, seeds []uint64, o soak.Options) {
