soak: a replica that lost its disk is replaced before the next loss

The same node lost its disk twice, 2.4 s apart by its starts (18:40:51.3 and 53.7): the second time before the first identity was removed, so that two of four voters were gone. The soak had taken the group for whole, as its leader had not noticed the first loss.

A group now counts as whole only if each replica that responds is one of the leader's voters by its present identity. The check is stricter; it delays or leaves out losses that no group of three can bear.

--- a/internal/soak/replicas.go
+++ b/internal/soak/replicas.go
@@ -2,11 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/harness"
+	"github.com/umberthread/umberthread/internal/node"
 )
 
 const (
@@ -35,16 +38,21 @@
 }
 
 // checkToleratesLoss returns an error unless each group is complete and tolerates the
-// loss of a replica, as its leader reports it.
+// loss of a replica, as its leader reports it, and each replica that responds is one of its
+// voters: a leader may not have noticed yet that a replica lost its disk.
 func (f *fleet) checkToleratesLoss() error {
 	bears := map[int]bool{}
+	var ids []string
+	var statuses []*node.ReplicaStatus
 	for _, m := range f.members[:replicas] {
-		s, err := m.Status()
-		if err != nil || s.Replica == nil {
-			continue
+		if s, err := m.Status(); err == nil && s.Replica != nil {
+			ids = append(ids, s.Replica.ID)
+			statuses = append(statuses, s.Replica)
 		}
-		for _, g := range s.Replica.Groups {
-			whole := len(g.Voters) == replicas && len(g.Learners) == 0
+	}
+	for _, s := range statuses {
+		for _, g := range s.Groups {
+			whole := len(g.Voters) == replicas && len(g.Learners) == 0 && areVoters(ids, g.Voters)
 			bears[g.Group] = bears[g.Group] || g.ToleratesFailure && whole
 		}
 	}
@@ -59,6 +67,16 @@
 	return nil
 }
 
+// areVoters reports whether each identity is one of the voters, given as identity@address.
+func areVoters(ids, voters []string) bool {
+	for _, id := range ids {
+		if !slices.ContainsFunc(voters, func(v string) bool { return strings.HasPrefix(v, id+"@") }) {
+			return false
+		}
+	}
+	return true
+}
+
 // awaitRepair waits until the replica groups are complete and returns the time taken.
 func (r *soakRun) awaitRepair() time.Duration {
 	start := time.Now()
