wal: nothing is saved after a refused write until the log is replaced

A Save that was queued behind a refused Reset could succeed on a log file that a rename had already replaced (the sync of the folder after the rename failed): it wrote, synced and confirmed there. After a kill the replica lacked a confirmed entry or vote. A Save after a refused Save could succeed likewise, behind a record that was written in part.

The log now counts as incomplete from the start of each write until its end, and Save fails with disk-refused until a Reset has succeeded, as the comment of replicaLog already promised. The replica records such a Save as refused, and the rewrite repairs it.

Before: TestNoSaveSucceedsAfterARefusedWrite failed in both cases (Save returned no error), TestSaveBehindRefusedCompactionIsRepaired as well (the save was confirmed). Both pass now, with the crash tests.

A compaction that a nearly full disk refuses therefore stops the confirmations of this replica until the rewrite succeeds, even if appends would still fit.

--- a/internal/node/refused_write_test.go
+++ b/internal/node/refused_write_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/onsi/gomega"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/disk/disktest"
 	"github.com/umberthread/umberthread/raft"
 	"github.com/umberthread/umberthread/settings"
 )
@@ -123,3 +125,67 @@
 	g.Eventually(refusedMs, 5*time.Second, 10*time.Millisecond).Should(gomega.BeZero())
 	g.Expect(nodes[refused].events.all()).To(gomega.ContainElement(gomega.HaveField("Text", gomega.ContainSubstring("accepts writes again"))))
 }
+
+// Guards against the loss of a confirmed entry whose save was queued behind a compaction that the
+// disk refused after it had replaced the log. The rewrite must hold it.
+func TestSaveBehindRefusedCompactionIsRepaired(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, _ := formedDisk(g)
+	r, err := openTestReplicas(d, log.NewNopLogger())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	group := r.groups[configGroup]
+	execute := func() {
+		job := <-group.writer.jobs.C()
+		group.completeWrite(writeResult{job, group.writer.execute(job)})
+	}
+	propose := func() uint64 {
+		index, _, err := group.core.Propose([]byte("command"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		group.processReady()
+		return index
+	}
+	group.core.Campaign()
+	group.processReady()
+	for group.core.Saving() {
+		execute()
+		group.processReady()
+	}
+	propose()
+	execute()
+	group.processReady()
+	for group.core.Saving() {
+		execute()
+	}
+
+	snap, ok := group.core.Compact(group.core.Applied(), nil)
+	g.Expect(ok).To(gomega.BeTrue())
+	group.compacting = true
+	group.writer.jobs.Offer(writeJob{reset: &logReset{snapshot: snap, entries: group.core.EntriesAfterSnapshot()}})
+	index := propose()
+	syncs := 0
+	d.Refuse(func(c disktest.Call) error {
+		if c.Name != "SyncFolder" {
+			return nil
+		}
+		syncs++
+		if syncs == 2 { // the one after the log was renamed
+			return syscall.EIO
+		}
+		return nil
+	})
+	execute()
+	g.Expect(syncs).To(gomega.Equal(2))
+	d.Refuse(nil)
+	execute()
+	g.Expect(group.core.Saving()).To(gomega.BeTrue(), "the refused save is not confirmed")
+	group.ticks = group.retry.nextTick
+	group.retryWrite()
+	execute()
+	g.Expect(group.retry).To(gomega.BeNil())
+	g.Expect(group.core.Saving()).To(gomega.BeFalse())
+
+	restarted, err := openTestReplicas(d.LoseUnsynced(), log.NewNopLogger())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, _, entries := restarted.groups[configGroup].core.PersistentState()
+	g.Expect(entries).To(gomega.ContainElement(gomega.HaveField("Index", index)))
+}
--- a/internal/wal/refused_write_test.go
+++ b/internal/wal/refused_write_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"os"
+	"syscall"
 	"testing"
 
 	"github.com/onsi/gomega"
 
+	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/disk/disktest"
 	"github.com/umberthread/umberthread/raft"
 )
 
@@ -56,3 +59,77 @@
 		})
 	}
 }
+
+// refuseNth makes a disk refuse the nth call of a name, counted from 0, and returns whether it
+// has.
+func refuseNth(d *disktest.Disk, name string, nth int) func() bool {
+	n := 0
+	d.Refuse(func(c disktest.Call) error {
+		if c.Name != name {
+			return nil
+		}
+		n++
+		if n == nth+1 {
+			return syscall.EIO
+		}
+		return nil
+	})
+	return func() bool { return n > nth }
+}
+
+// changeNames are the names of the calls by which a log changes the disk.
+var changeNames = []string{"OpenFile", "Read", "Write", "Truncate", "Sync", "Rename", "SyncFolder"}
+
+// afterEachRefusedCall runs a write on a log of 8 entries with each of its calls to the disk
+// refused in turn, and then check, with a disk that refuses nothing.
+func afterEachRefusedCall(t *testing.T, write func(w *WAL) error, check func(g *gomega.WithT, d *disktest.Disk, w *WAL)) {
+	g := gomega.NewWithT(t)
+	failed := 0
+	for _, name := range changeNames {
+		for nth, reached := 0, true; reached; nth++ {
+			d := newCrashDisk()
+			w, _, err := OpenFolder(d.Folder(crashFolder))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(w.Save(&raft.Ready{State: &raft.HardState{Term: 1}, Entries: testEntries(1, 8, 1)})).To(gomega.Succeed())
+			refused := refuseNth(d, name, nth)
+			err = write(w)
+			reached = refused()
+			d.Refuse(nil)
+			if !reached {
+				break
+			}
+			g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.DiskRefused), "%s %d", name, nth)
+			failed++
+			check(g, d, w)
+		}
+	}
+	g.Expect(failed).To(gomega.BeNumerically(">", 0))
+}
+
+// TestNoSaveSucceedsAfterARefusedWrite guards against confirming an entry or a vote that is
+// written to a log that a rename has replaced, or behind a record that was written in part: the
+// next start does not find it.
+func TestNoSaveSucceedsAfterARefusedWrite(t *testing.T) {
+	for name, write := range map[string]func(w *WAL) error{
+		"reset": func(w *WAL) error {
+			return w.Reset(raft.Snapshot{Index: 6, Term: 1}, raft.HardState{Term: 1}, testEntries(7, 8, 1))
+		},
+		"save": func(w *WAL) error { return w.Save(&raft.Ready{Entries: testEntries(9, 9, 1)}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			afterEachRefusedCall(t, write, func(g *gomega.WithT, d *disktest.Disk, w *WAL) {
+				next := raft.Ready{State: &raft.HardState{Term: 2, Vote: "a"}, Entries: testEntries(9, 9, 2)}
+				g.Expect(fault.CodeOf(w.Save(&next))).To(gomega.Equal(fault.DiskRefused))
+				commit := raft.Ready{State: &raft.HardState{Term: 1, Commit: 8}}
+				g.Expect(fault.CodeOf(w.Save(&commit))).To(gomega.Equal(fault.DiskRefused))
+				st := raft.HardState{Term: 2, Vote: "a"}
+				g.Expect(w.Reset(raft.Snapshot{Index: 6, Term: 1}, st, testEntries(7, 8, 1))).To(gomega.Succeed())
+				g.Expect(w.Save(&raft.Ready{Entries: testEntries(9, 9, 2)})).To(gomega.Succeed())
+				_, got, err := OpenFolder(d.LoseUnsynced().Folder(crashFolder))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(got.State).To(gomega.Equal(st))
+				g.Expect(got.Entries).To(gomega.Equal(append(testEntries(7, 8, 1), testEntries(9, 9, 2)...)))
+			})
+		})
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -58,6 +58,9 @@
 	logSize   int64
 	baseIndex uint64
 	buf       []byte
+	// incomplete is set while a write is in progress and after one that failed: what the files
+	// hold is unknown then, and logFile may be a file that a rename has replaced.
+	incomplete bool
 	// contents is what Open returned, with State and Snapshot updated by each save.
 	contents Contents
 	// syncedVote is the last synced term and vote.
@@ -323,7 +326,8 @@
 	}
 }
 
-// Save persists a Ready. It syncs the log unless at most the commit index changes.
+// Save persists a Ready. It syncs the log unless at most the commit index changes. After a failed
+// Save or Reset it fails with fault.DiskRefused until a Reset succeeds.
 func (w *WAL) Save(r *raft.Ready) error {
 	if r.Snapshot != nil {
 		st := w.contents.State
@@ -335,6 +339,9 @@
 	if r.State == nil && len(r.Entries) == 0 {
 		return nil
 	}
+	if w.incomplete {
+		return fault.New(fault.DiskRefused, "an earlier write failed, and the log must be replaced first")
+	}
 	if r.State != nil {
 		w.contents.State = *r.State
 	}
@@ -353,11 +360,13 @@
 		return fault.Wrap(fault.Internal, err, "cannot encode a record")
 	}
 	w.buf = appendFrame(w.buf[:0], payload)
+	w.incomplete = true
 	if _, err := w.logFile.Write(w.buf); err != nil {
 		return fault.Wrap(fault.DiskRefused, err, "cannot write the log")
 	}
 	w.logSize += int64(len(w.buf))
 	if stateOnly && termVoteOf(*rec.State) == w.syncedVote {
+		w.incomplete = false
 		return nil
 	}
 	w.callBeforeSync()
@@ -365,12 +374,22 @@
 		return fault.Wrap(fault.DiskRefused, err, "cannot sync the log")
 	}
 	w.syncedVote = termVoteOf(w.contents.State)
-	return w.writeSyncedSize()
+	return w.completeWrite()
+}
+
+// completeWrite ends a synced write.
+func (w *WAL) completeWrite() error {
+	if err := w.writeSyncedSize(); err != nil {
+		return err
+	}
+	w.incomplete = false
+	return nil
 }
 
 // Reset replaces the contents by a snapshot, a state and the entries after the snapshot. Each
 // file is replaced atomically.
 func (w *WAL) Reset(snap raft.Snapshot, st raft.HardState, entries []raft.Entry) error {
+	w.incomplete = true
 	w.callBeforeSync()
 	payload, err := msgpack.Marshal(&snap)
 	if err != nil {
@@ -413,7 +432,7 @@
 	w.contents.Snapshot = snap
 	w.contents.State = st
 	w.syncedVote = termVoteOf(st)
-	return w.writeSyncedSize()
+	return w.completeWrite()
 }
 
 // Close closes the files without a sync.
