node: a group that is formed forgets the refused writes before it

Forming a group replaced the raft core but kept the retry of a write that the disk had refused before. When that retry succeeded, the Ready of the former core would have advanced the new one: entries of its own save in progress would have counted as saved. Found by reading; no fleet has shown it. A retry that went on would also have reported a refusing disk.

TestFormedGroupForgetsRefusedWrites failed before (the retry was kept) and passes now.

--- a/internal/node/form_test.go
+++ b/internal/node/form_test.go
@@ -4,7 +4,11 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/go-kit/log"
 	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/internal/disk/disktest"
+	"github.com/umberthread/umberthread/raft"
 )
 
 // TestAllGroupsAreFormedAfterAFailedAttempt guards against a fleet without a group for its
@@ -33,3 +37,18 @@
 		}
 	}
 }
+
+// Guards against a new group that takes the save of the replica before it for its own: the retry
+// of a write that was refused before the group was formed would confirm what is not on the disk.
+func TestFormedGroupForgetsRefusedWrites(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, err := openTestReplicas(disktest.New(), log.NewNopLogger())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	group := r.groups[configGroup]
+	refused := raft.Ready{State: &raft.HardState{Term: 9}}
+	group.recordRefusedWrite(writeResult{writeJob{ready: refused}, errFullDisk()})
+	formTestGroups(g, r)
+	g.Expect(group.retry).To(gomega.BeNil())
+	g.Expect(group.compacting).To(gomega.BeFalse())
+	g.Expect(group.writeRefusedFor()).To(gomega.BeZero())
+}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -485,6 +485,8 @@
 		return err
 	}
 	g.core = next.core
+	// A save of the former core must not advance this one, and the log is whole again.
+	g.forgetRefusedWrites()
 	g.core.Campaign()
 	return nil
 }
--- a/internal/node/write_retry.go
+++ b/internal/node/write_retry.go
@@ -57,9 +57,7 @@
 // completeRewrite resumes normal operation after the log was replaced.
 func (g *group) completeRewrite() {
 	save, refused := g.retry.save, g.writeRefusedFor()
-	g.retry = nil
-	g.compacting = false
-	g.writeRefusedSince.Store(0)
+	g.forgetRefusedWrites()
 	if save != nil {
 		// The messages of the failed save are dropped: they may confirm entries that newer
 		// ones in the rewritten log have replaced. Raft sends them again.
@@ -68,6 +66,13 @@
 	g.replicas.node.logEvent("replica", "Group "+formatUint(uint64(g.id))+": its disk accepts writes again after "+refused.Round(time.Millisecond).String()+".")
 }
 
+// forgetRefusedWrites ends the retry after the log was replaced.
+func (g *group) forgetRefusedWrites() {
+	g.retry = nil
+	g.compacting = false
+	g.writeRefusedSince.Store(0)
+}
+
 // writeRefusedFor returns how long the disk has refused writes, 0 if it accepts them.
 func (g *group) writeRefusedFor() time.Duration {
 	since := time.Duration(g.writeRefusedSince.Load())
