node, wal: a refused attempt to form the groups leaves none behind

The operator was told disk-refused, but after a restart the replica was a voter and could lead: once the operator had formed the groups on another node, there were two.

If the undoing fails too, or some of the groups are formed already, or the node stops meanwhile, the answer now says that the outcome is unknown and the operator repeats the form at the same node.

The full disk of the node tests now has the code of the real one, disk-refused; it was internal.

--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -32,6 +32,8 @@
 	MkdirAll(path string) error
 	// Rename renames a file or folder, and replaces a file of the new name.
 	Rename(from, to string) error
+	// Remove removes a file.
+	Remove(path string) error
 	// SyncFolder makes the names in a folder durable.
 	SyncFolder(path string) error
 }
@@ -119,6 +121,9 @@
 // Rename implements FS.
 func (OS) Rename(from, to string) error { return os.Rename(from, to) }
 
+// Remove implements FS.
+func (OS) Remove(path string) error { return os.Remove(path) }
+
 // SyncFolder implements FS.
 func (OS) SyncFolder(path string) error {
 	d, err := os.Open(path)
--- a/internal/disk/disktest/disk.go
+++ b/internal/disk/disktest/disk.go
@@ -259,6 +259,21 @@
 	return nil
 }
 
+// Remove implements disk.FS for files.
+func (d *Disk) Remove(p string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.accept("Remove", p); err != nil {
+		return err
+	}
+	n := d.find(p)
+	if n == nil || n.isFolder {
+		return notExist("remove", p)
+	}
+	d.find(path.Dir(p)).change(&nameChange{removed: path.Base(p), node: n})
+	return nil
+}
+
 // SyncFolder implements disk.FS.
 func (d *Disk) SyncFolder(p string) error {
 	d.mu.Lock()
--- a/internal/node/log_writer.go
+++ b/internal/node/log_writer.go
@@ -17,6 +17,9 @@
 	Save(r *raft.Ready) error
 	// Reset replaces everything by a snapshot, a state and the entries after the snapshot.
 	Reset(snap raft.Snapshot, st raft.HardState, entries []raft.Entry) error
+	// Create replaces a log without a snapshot by the first one of a new group. A restart finds
+	// nothing of the group after an error, unless its Execution is unknown.
+	Create(snap raft.Snapshot, st raft.HardState) error
 	// State returns the last saved state.
 	State() raft.HardState
 	// Close closes the files.
@@ -40,6 +43,8 @@
 
 // logReset replaces the log. A nil state keeps the last saved one.
 type logReset struct {
+	// creates marks the first snapshot of a new group. It has a state and no entries.
+	creates  bool
 	snapshot raft.Snapshot
 	state    *raft.HardState
 	entries  []raft.Entry
@@ -74,6 +79,9 @@
 	if job.reset == nil {
 		return w.log.Save(&job.ready)
 	}
+	if job.reset.creates {
+		return w.log.Create(job.reset.snapshot, *job.reset.state)
+	}
 	st := w.log.State()
 	if job.reset.state != nil {
 		st = *job.reset.state
@@ -87,7 +95,7 @@
 	for {
 		select {
 		case <-g.replicas.node.stop:
-			return fault.New(fault.Draining, "the node is stopping")
+			return fault.New(fault.Draining, "the node is stopping").WithUnknownExecution()
 		case result := <-g.writer.results.C():
 			if result.job.reset == reset {
 				return result.err
--- a/internal/node/refused_write_test.go
+++ b/internal/node/refused_write_test.go
@@ -36,8 +36,17 @@
 	return l.replicaLog.Reset(snap, st, entries)
 }
 
+func (l *refusingLog) Create(snap raft.Snapshot, st raft.HardState) error {
+	if l.full.Load() {
+		return errFullDisk()
+	}
+	return l.replicaLog.Create(snap, st)
+}
+
 // errFullDisk returns the error of a write to a full disk.
-func errFullDisk() error { return fault.Wrap(fault.Internal, syscall.ENOSPC, "cannot write the log") }
+func errFullDisk() error {
+	return fault.Wrap(fault.DiskRefused, syscall.ENOSPC, "cannot write the log")
+}
 
 // startRefusableReplicas starts three replicas whose disks can refuse writes.
 func startRefusableReplicas(t *testing.T) ([]*testNode, []*atomic.Bool) {
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -440,10 +440,16 @@
 	}
 	self := raft.Peer{ID: r.id, Addr: r.node.opt.AdvertiseControl, Domain: r.node.opt.Domain}
 	// The settings group is the last one: while it is missing, a failed attempt is repeated.
-	for _, g := range slices.Backward(r.groups) {
-		if err := g.form(self); err != nil {
-			return err
+	for i, g := range slices.Backward(r.groups) {
+		err := g.form(self)
+		if err == nil {
+			continue
 		}
+		if i < len(r.groups)-1 {
+			// Groups that another node forms would be second ones beside those formed here.
+			return fault.Wrap(fault.CodeOf(err), err, "some groups are formed; repeat this at the same node").WithUnknownExecution()
+		}
+		return err
 	}
 	return nil
 }
@@ -466,7 +472,7 @@
 	case err := <-done:
 		return err
 	case <-g.replicas.node.stop:
-		return fault.New(fault.Draining, "the node is stopping")
+		return fault.New(fault.Draining, "the node is stopping").WithUnknownExecution()
 	}
 }
 
@@ -477,7 +483,7 @@
 	}
 	snap := raft.InitialSnapshot(self, nil)
 	st := raft.HardState{Term: snap.Term, Commit: snap.Index}
-	if err := g.resetLogAndWait(&logReset{snapshot: snap, state: &st}); err != nil {
+	if err := g.resetLogAndWait(&logReset{creates: true, snapshot: snap, state: &st}); err != nil {
 		return err
 	}
 	next, err := openGroup(g.replicas, g.id, g.writer, wal.Contents{State: st, Snapshot: snap}, g.sm)
--- a/internal/node/write_refusal.go
+++ b/internal/node/write_refusal.go
@@ -31,6 +31,14 @@
 	return l.replicaLog.Reset(snap, st, entries)
 }
 
+// Create implements replicaLog.
+func (l *fullDiskLog) Create(snap raft.Snapshot, st raft.HardState) error {
+	if err := l.refusal(); err != nil {
+		return err
+	}
+	return l.replicaLog.Create(snap, st)
+}
+
 // refusal returns the error of a full disk while the file exists.
 func (l *fullDiskLog) refusal() error {
 	if _, err := os.Stat(l.path); err != nil {
--- a/internal/wal/refused_write_test.go
+++ b/internal/wal/refused_write_test.go
@@ -78,7 +78,7 @@
 }
 
 // changeNames are the names of the calls by which a log changes the disk.
-var changeNames = []string{"OpenFile", "Read", "Write", "Truncate", "Sync", "Rename", "SyncFolder"}
+var changeNames = []string{"OpenFile", "Read", "Write", "Truncate", "Sync", "Rename", "Remove", "SyncFolder"}
 
 // afterEachRefusedCall runs a write on a log of 8 entries with each of its calls to the disk
 // refused in turn, and then check, with a disk that refuses nothing.
@@ -133,3 +133,78 @@
 		})
 	}
 }
+
+// createTestLog refuses the nth call of a name while a group is created on a disk whose log has a
+// vote, and returns whether the disk has refused it.
+func createTestLog(g *gomega.WithT, name string, nth int) (d *disktest.Disk, w *WAL, refused bool, err error) {
+	d = newCrashDisk()
+	w, _, err = OpenFolder(d.Folder(crashFolder))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for term := uint64(1); term <= testVote.Term; term++ {
+		g.Expect(w.Save(&raft.Ready{State: &raft.HardState{Term: term, Vote: testVote.Vote}})).To(gomega.Succeed())
+	}
+	hasRefused := refuseNth(d, name, nth)
+	err = w.Create(raft.InitialSnapshot(raft.Peer{ID: "a"}, nil), raft.HardState{Term: 1, Commit: 1})
+	refused = hasRefused()
+	d.Refuse(nil)
+	return d, w, refused, err
+}
+
+// testVote is a vote that a replica gave before a group was created on it.
+var testVote = raft.HardState{Term: 5, Vote: "b"}
+
+// TestRefusedCreateLeavesNoGroup guards against a group that comes to life by a restart although
+// its creation was refused: another node may have formed one meanwhile. Nor may the attempt lose a
+// vote or look like a damaged disk.
+func TestRefusedCreateLeavesNoGroup(t *testing.T) {
+	g := gomega.NewWithT(t)
+	failed := 0
+	for _, name := range changeNames {
+		for nth := 0; ; nth++ {
+			d, w, refused, err := createTestLog(g, name, nth)
+			if !refused {
+				break
+			}
+			failed++
+			g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.DiskRefused), "%s %d", name, nth)
+			g.Expect(fault.From(err).Execution).NotTo(gomega.Equal(fault.ExecutionUnknown), "%s %d", name, nth)
+			for _, image := range []*disktest.Disk{d.LoseUnsynced(), d} {
+				_, got, err := OpenFolder(image.Folder(crashFolder))
+				g.Expect(err).NotTo(gomega.HaveOccurred(), "%s %d", name, nth)
+				g.Expect(got.Snapshot.Conf.Voters).To(gomega.BeEmpty(), "%s %d", name, nth)
+				g.Expect(got.State).To(gomega.Equal(testVote), "%s %d", name, nth)
+			}
+			g.Expect(w.Create(raft.InitialSnapshot(raft.Peer{ID: "a"}, nil), raft.HardState{Term: 1, Commit: 1})).To(gomega.Succeed())
+			_, got, err := OpenFolder(d.LoseUnsynced().Folder(crashFolder))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(got.Snapshot.Conf.Voters).To(gomega.HaveLen(1), "%s %d", name, nth)
+		}
+	}
+	g.Expect(failed).To(gomega.BeNumerically(">", 5))
+}
+
+// TestCreateTellsWhenItsOutcomeIsUnknown guards against a refusal that sounds final while a restart
+// brings the group to life, on a disk that refuses all calls from one on.
+func TestCreateTellsWhenItsOutcomeIsUnknown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	unknown := 0
+	for stop, ended := 0, false; !ended; stop++ {
+		d := newCrashDisk()
+		w, _, err := OpenFolder(d.Folder(crashFolder))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		d.StopAfter(stop)
+		err = w.Create(raft.InitialSnapshot(raft.Peer{ID: "a"}, nil), raft.HardState{Term: 1, Commit: 1})
+		ended = err == nil
+		d.Resume()
+		if ended || fault.From(err).Execution == fault.ExecutionUnknown {
+			unknown++
+			continue
+		}
+		for _, image := range []*disktest.Disk{d.LoseUnsynced(), d} {
+			_, got, err := OpenFolder(image.Folder(crashFolder))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(got.Snapshot.Conf.Voters).To(gomega.BeEmpty(), "stop %d", stop)
+		}
+	}
+	g.Expect(unknown).To(gomega.BeNumerically(">", 1))
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -416,6 +416,73 @@
 	return w.reopen(snap, st, int64(len(log)))
 }
 
+// Create replaces the contents of a log that has no snapshot and no entries by the first
+// snapshot of a new group, with its state. If that fails, a restart finds nothing of the group;
+// if that cannot be achieved either, the error's Execution is unknown.
+func (w *WAL) Create(snap raft.Snapshot, st raft.HardState) error {
+	before := w.contents.State
+	err := w.Reset(snap, st, nil)
+	if err == nil {
+		return nil
+	}
+	if undoErr := w.undoCreate(before); undoErr != nil {
+		return fault.Wrap(fault.DiskRefused, errors.CombineErrors(err, undoErr), "a restart may find the new group").WithUnknownExecution()
+	}
+	return err
+}
+
+// undoCreate removes what a failed Create has written. The log goes first: one that continues a
+// missing snapshot would count as corrupt after a crash in between.
+func (w *WAL) undoCreate(before raft.HardState) error {
+	replaced, err := w.logContinuesASnapshot()
+	if err != nil {
+		return err
+	}
+	if replaced {
+		if err := w.replaceLogByState(before); err != nil {
+			return err
+		}
+	}
+	if err := w.dir.Remove(w.path(snapshotFileName)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fault.Wrap(fault.DiskRefused, err, "cannot remove the snapshot")
+	}
+	if err := syncDir(w.dir); err != nil {
+		return err
+	}
+	w.baseIndex, w.contents.State, w.contents.Snapshot = 0, before, raft.Snapshot{}
+	return nil
+}
+
+// logContinuesASnapshot reports whether the log on the disk continues a snapshot. A full disk may
+// refuse its replacement, so undoCreate avoids that if it is not necessary.
+func (w *WAL) logContinuesASnapshot() (bool, error) {
+	data, err := w.dir.ReadFile(w.path(logFileName))
+	if err != nil {
+		return false, fault.Wrap(fault.DiskRefused, err, "cannot read the log")
+	}
+	var first record
+	payload, n := nextRecord(data)
+	if n == 0 {
+		return false, nil
+	}
+	if err := msgpack.Unmarshal(payload, &first); err != nil {
+		return false, fault.Wrap(fault.Internal, err, "cannot decode a record")
+	}
+	return first.Base > 0, nil
+}
+
+// replaceLogByState replaces the log by one without a snapshot and entries.
+func (w *WAL) replaceLogByState(st raft.HardState) error {
+	payload, err := msgpack.Marshal(&record{State: &st})
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot encode a record")
+	}
+	if err := w.forgetSyncedSize(); err != nil {
+		return err
+	}
+	return replaceFile(w.dir, logFileName, appendFrame(nil, payload))
+}
+
 // reopen switches to a replaced log of the given size.
 func (w *WAL) reopen(snap raft.Snapshot, st raft.HardState, size int64) error {
 	_ = w.logFile.Close()
