--- a/fault/fault.go
+++ b/fault/fault.go
@@ -89,6 +89,8 @@
 	RateLimited
 	// DiskRefused means that the disk refused a read or a write. What it stores may be sound.
 	DiskRefused
+	// UnknownFormat means that stored data is sound but of a format that this version cannot read.
+	UnknownFormat
 	numCodes
 )
 
@@ -138,6 +140,7 @@
 	QuotaExceeded:    {"quota-exceeded", http.StatusTooManyRequests, 18},
 	RateLimited:      {"rate-limited", http.StatusServiceUnavailable, 10},
 	DiskRefused:      {"disk-refused", http.StatusServiceUnavailable, 9},
+	UnknownFormat:    {"unknown-format", http.StatusInternalServerError, 8},
 }
 
 // String returns the name of the code as used in refusals and metrics.
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -104,7 +104,9 @@
 	done chan []byte
 }
 
-// openGroup creates a group from its loaded log and restores its state machine.
+// openGroup creates a group from its loaded log and restores its state machine. A snapshot that
+// cannot be restored is no damage, as its checksum holds: the error is fault.UnknownFormat.
+// Another version wrote it, and a start that took the disk for lost would give up its votes.
 func openGroup(r *replicas, id int, w *logWriter, l wal.Contents, m stateMachine) (*group, error) {
 	g := &group{
 		id: id, replicas: r, writer: w, sm: m, inbox: ring.New[func()](inboxSize),
@@ -115,7 +117,7 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, l.State, l.Snapshot, l.Entries)
 	if err := m.restore(l.Snapshot.Data); err != nil {
-		return nil, err
+		return nil, fault.Wrap(fault.UnknownFormat, err, "group "+formatUint(uint64(id))+": this version cannot read the snapshot")
 	}
 	return g, nil
 }
--- a/internal/node/replica_disk_test.go
+++ b/internal/node/replica_disk_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/disk/disktest"
+	"github.com/umberthread/umberthread/internal/wal"
 )
 
 const testDataFolder = "/srv/data"
@@ -265,3 +266,27 @@
 	}
 	return false
 }
+
+// Guards against a downgrade that, restarted node by node, sets every sound disk aside: a start
+// that cannot read the format of a snapshot ends and leaves the folder as it is.
+func TestSnapshotOfUnknownFormatIsNotSetAside(t *testing.T) {
+	for id := range DefaultOptions().Shards + 1 {
+		g := gomega.NewWithT(t)
+		d, identity := formedDisk(g)
+		w, loaded, err := wal.OpenFolder(d.Folder(testDataFolder).Folder(groupFolder(id)))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		later := loaded.Snapshot
+		later.Data = []byte("a format of a later version")
+		g.Expect(w.Reset(later, loaded.State, loaded.Entries)).To(gomega.Succeed())
+		begun := time.Now()
+		_, err = openTestReplicas(d, log.NewNopLogger())
+		g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.UnknownFormat), "group %d: %v", id, err)
+		g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", openRetryTime), "trying again does not help")
+		g.Expect(damagedFolders(g, d)).To(gomega.BeEmpty(), "group %d", id)
+
+		g.Expect(w.Reset(loaded.Snapshot, loaded.State, loaded.Entries)).To(gomega.Succeed())
+		r, err := openTestReplicas(d, log.NewNopLogger())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(r.id).To(gomega.Equal(identity))
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -5,7 +5,8 @@
 // stores the synced size of the log. An incomplete or corrupt record beyond the synced size was
 // never acknowledged and is dropped. Corruption below it means that the disk lost acknowledged
 // data: Open fails with fault.Corrupt, and the caller must treat the disk as lost. A disk that
-// refuses a call is no such loss: the code is fault.DiskRefused, and another Open may succeed.
+// refuses a call is no such loss: the code is fault.DiskRefused, and another Open may succeed. Nor
+// is a snapshot of an unknown format whose checksum holds: the code is fault.UnknownFormat.
 package wal
 
 import (
@@ -164,9 +165,12 @@
 		return fault.Wrap(fault.DiskRefused, err, "cannot read the snapshot")
 	}
 	payload, n := nextRecord(data)
-	if n == 0 || n != len(data) || msgpack.Unmarshal(payload, &w.contents.Snapshot) != nil {
+	if n != len(data) || len(payload) == 0 {
 		return fault.New(fault.Corrupt, "the snapshot is corrupt")
 	}
+	if err := msgpack.Unmarshal(payload, &w.contents.Snapshot); err != nil {
+		return fault.Wrap(fault.UnknownFormat, err, "this version cannot read the snapshot")
+	}
 	return nil
 }
 
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -208,3 +208,25 @@
 	g.Expect(got.Snapshot.Data).To(gomega.HaveLen(len(data)))
 	g.Expect(got.Entries).To(gomega.HaveLen(1))
 }
+
+// TestSnapshotOfUnknownFormatIsNoCorruption guards against giving up a sound disk that a later
+// version has written.
+func TestSnapshotOfUnknownFormatIsNoCorruption(t *testing.T) {
+	for name, c := range map[string]struct {
+		file []byte
+		want fault.Code
+	}{
+		"unknown format": {appendFrame(nil, []byte("a format of a later version")), fault.UnknownFormat},
+		"empty file":     {nil, fault.Corrupt},
+		"zeros":          {make([]byte, headerBytes), fault.Corrupt},
+		"cut off":        {appendFrame(nil, []byte("a format of a later version"))[:20], fault.Corrupt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			dir := writeTestLog(t)
+			g.Expect(os.WriteFile(filepath.Join(dir, snapshotFileName), c.file, 0o644)).To(gomega.Succeed())
+			_, _, err := Open(dir)
+			g.Expect(fault.CodeOf(err)).To(gomega.Equal(c.want), "%v", err)
+		})
+	}
+}
