--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -159,6 +159,9 @@
 // tick advances the core's clock and checks the disks and, on the leader, the
 // membership.
 func (g *group) tick() {
+	if g.failed {
+		return
+	}
 	g.core.Tick()
 	g.ticks++
 	g.checkDiskStalls()
@@ -253,11 +256,28 @@
 // builds on the snapshot.
 func (g *group) fail(err error) {
 	g.failed = true
+	// A rewrite of the log would put the snapshot on the disk, and no start could read it.
+	g.forgetRefusedWrites()
+	g.saveTime.Store(0)
 	g.applyEvent(replicaEventRestoreFailed)
 	g.leads.Store(false)
+	g.failPending()
 	g.replicas.node.warnEvent("replica", "Group "+formatUint(uint64(g.id))+": this replica stopped, it cannot read a snapshot: "+err.Error())
 }
 
+// failPending completes the proposals and reads that this replica will never complete.
+func (g *group) failPending() {
+	for _, p := range g.proposals {
+		close(p.done)
+	}
+	for id, done := range g.pendingReads {
+		done <- raft.ReadResult{ID: id}
+	}
+	clear(g.proposals)
+	clear(g.pendingReads)
+	g.unappliedReads = nil
+}
+
 // applyEntry applies a committed entry and completes the proposal that waits for it.
 func (g *group) applyEntry(e *raft.Entry) {
 	var result []byte
@@ -465,6 +485,10 @@
 func (g *group) readLinearizable(wait time.Duration, f func()) error {
 	done := make(chan raft.ReadResult, 1)
 	ok := g.enqueue(func() {
+		if g.failed {
+			done <- raft.ReadResult{}
+			return
+		}
 		g.lastReadID++
 		g.pendingReads[g.lastReadID] = done
 		g.core.ReadIndex(g.lastReadID)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -513,6 +513,9 @@
 	}
 	// A full inbox drops the messages; raft tolerates loss.
 	g.enqueue(func() {
+		if g.failed {
+			return
+		}
 		for _, m := range ms {
 			g.core.Step(m)
 		}
