--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -104,7 +104,9 @@
 	done chan []byte
 }
 
-// openGroup creates a group from its loaded log and restores its state machine.
+// openGroup creates a group from its loaded log and restores its state machine. A snapshot that
+// cannot be restored is no damage, as its checksum holds: the error is fault.UnknownFormat.
+// Another version wrote it, and a start that took the disk for lost would give up its votes.
 func openGroup(r *replicas, id int, w *logWriter, l wal.Contents, m stateMachine) (*group, error) {
 	g := &group{
 		id: id, replicas: r, writer: w, sm: m, inbox: ring.New[func()](inboxSize),
@@ -115,7 +117,7 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, l.State, l.Snapshot, l.Entries)
 	if err := m.restore(l.Snapshot.Data); err != nil {
-		return nil, err
+		return nil, fault.Wrap(fault.UnknownFormat, err, "group "+formatUint(uint64(id))+": this version cannot read the snapshot")
 	}
 	return g, nil
 }
@@ -157,6 +159,9 @@
 // tick advances the core's clock and checks the disks and, on the leader, the
 // membership.
 func (g *group) tick() {
+	if g.failed {
+		return
+	}
 	g.core.Tick()
 	g.ticks++
 	g.checkDiskStalls()
@@ -251,11 +256,28 @@
 // builds on the snapshot.
 func (g *group) fail(err error) {
 	g.failed = true
+	// A rewrite of the log would put the snapshot on the disk, and no start could read it.
+	g.forgetRefusedWrites()
+	g.saveTime.Store(0)
 	g.applyEvent(replicaEventRestoreFailed)
 	g.leads.Store(false)
+	g.failPending()
 	g.replicas.node.warnEvent("replica", "Group "+formatUint(uint64(g.id))+": this replica stopped, it cannot read a snapshot: "+err.Error())
 }
 
+// failPending completes the proposals and reads that this replica will never complete.
+func (g *group) failPending() {
+	for _, p := range g.proposals {
+		close(p.done)
+	}
+	for id, done := range g.pendingReads {
+		done <- raft.ReadResult{ID: id}
+	}
+	clear(g.proposals)
+	clear(g.pendingReads)
+	g.unappliedReads = nil
+}
+
 // applyEntry applies a committed entry and completes the proposal that waits for it.
 func (g *group) applyEntry(e *raft.Entry) {
 	var result []byte
@@ -463,6 +485,10 @@
 func (g *group) readLinearizable(wait time.Duration, f func()) error {
 	done := make(chan raft.ReadResult, 1)
 	ok := g.enqueue(func() {
+		if g.failed {
+			done <- raft.ReadResult{}
+			return
+		}
 		g.lastReadID++
 		g.pendingReads[g.lastReadID] = done
 		g.core.ReadIndex(g.lastReadID)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -5,7 +5,8 @@
 // stores the synced size of the log. An incomplete or corrupt record beyond the synced size was
 // never acknowledged and is dropped. Corruption below it means that the disk lost acknowledged
 // data: Open fails with fault.Corrupt, and the caller must treat the disk as lost. A disk that
-// refuses a call is no such loss: the code is fault.DiskRefused, and another Open may succeed.
+// refuses a call is no such loss: the code is fault.DiskRefused, and another Open may succeed. Nor
+// is a snapshot of an unknown format whose checksum holds: the code is fault.UnknownFormat.
 package wal
 
 import (
@@ -58,6 +59,9 @@
 	logSize   int64
 	baseIndex uint64
 	buf       []byte
+	// incomplete is set while a write is in progress and after one that failed: what the files
+	// hold is unknown then, and logFile may be a file that a rename has replaced.
+	incomplete bool
 	// contents is what Open returned, with State and Snapshot updated by each save.
 	contents Contents
 	// syncedVote is the last synced term and vote.
@@ -161,9 +165,12 @@
 		return fault.Wrap(fault.DiskRefused, err, "cannot read the snapshot")
 	}
 	payload, n := nextRecord(data)
-	if n == 0 || n != len(data) || msgpack.Unmarshal(payload, &w.contents.Snapshot) != nil {
+	if n != len(data) || len(payload) == 0 {
 		return fault.New(fault.Corrupt, "the snapshot is corrupt")
 	}
+	if err := msgpack.Unmarshal(payload, &w.contents.Snapshot); err != nil {
+		return fault.Wrap(fault.UnknownFormat, err, "this version cannot read the snapshot")
+	}
 	return nil
 }
 
@@ -323,7 +330,8 @@
 	}
 }
 
-// Save persists a Ready. It syncs the log unless at most the commit index changes.
+// Save persists a Ready. It syncs the log unless at most the commit index changes. After a failed
+// Save or Reset it fails with fault.DiskRefused until a Reset succeeds.
 func (w *WAL) Save(r *raft.Ready) error {
 	if r.Snapshot != nil {
 		st := w.contents.State
@@ -335,6 +343,9 @@
 	if r.State == nil && len(r.Entries) == 0 {
 		return nil
 	}
+	if w.incomplete {
+		return fault.New(fault.DiskRefused, "an earlier write failed, and the log must be replaced first")
+	}
 	if r.State != nil {
 		w.contents.State = *r.State
 	}
@@ -353,11 +364,13 @@
 		return fault.Wrap(fault.Internal, err, "cannot encode a record")
 	}
 	w.buf = appendFrame(w.buf[:0], payload)
+	w.incomplete = true
 	if _, err := w.logFile.Write(w.buf); err != nil {
 		return fault.Wrap(fault.DiskRefused, err, "cannot write the log")
 	}
 	w.logSize += int64(len(w.buf))
 	if stateOnly && termVoteOf(*rec.State) == w.syncedVote {
+		w.incomplete = false
 		return nil
 	}
 	w.callBeforeSync()
@@ -365,12 +378,22 @@
 		return fault.Wrap(fault.DiskRefused, err, "cannot sync the log")
 	}
 	w.syncedVote = termVoteOf(w.contents.State)
-	return w.writeSyncedSize()
+	return w.completeWrite()
+}
+
+// completeWrite ends a synced write.
+func (w *WAL) completeWrite() error {
+	if err := w.writeSyncedSize(); err != nil {
+		return err
+	}
+	w.incomplete = false
+	return nil
 }
 
 // Reset replaces the contents by a snapshot, a state and the entries after the snapshot. Each
 // file is replaced atomically.
 func (w *WAL) Reset(snap raft.Snapshot, st raft.HardState, entries []raft.Entry) error {
+	w.incomplete = true
 	w.callBeforeSync()
 	payload, err := msgpack.Marshal(&snap)
 	if err != nil {
@@ -397,6 +420,73 @@
 	return w.reopen(snap, st, int64(len(log)))
 }
 
+// Create replaces the contents of a log that has no snapshot and no entries by the first
+// snapshot of a new group, with its state. If that fails, a restart finds nothing of the group;
+// if that cannot be achieved either, the error's Execution is unknown.
+func (w *WAL) Create(snap raft.Snapshot, st raft.HardState) error {
+	before := w.contents.State
+	err := w.Reset(snap, st, nil)
+	if err == nil {
+		return nil
+	}
+	if undoErr := w.undoCreate(before); undoErr != nil {
+		return fault.Wrap(fault.DiskRefused, errors.CombineErrors(err, undoErr), "a restart may find the new group").WithUnknownExecution()
+	}
+	return err
+}
+
+// undoCreate removes what a failed Create has written. The log goes first: one that continues a
+// missing snapshot would count as corrupt after a crash in between.
+func (w *WAL) undoCreate(before raft.HardState) error {
+	replaced, err := w.logContinuesASnapshot()
+	if err != nil {
+		return err
+	}
+	if replaced {
+		if err := w.replaceLogByState(before); err != nil {
+			return err
+		}
+	}
+	if err := w.dir.Remove(w.path(snapshotFileName)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fault.Wrap(fault.DiskRefused, err, "cannot remove the snapshot")
+	}
+	if err := syncDir(w.dir); err != nil {
+		return err
+	}
+	w.baseIndex, w.contents.State, w.contents.Snapshot = 0, before, raft.Snapshot{}
+	return nil
+}
+
+// logContinuesASnapshot reports whether the log on the disk continues a snapshot. A full disk may
+// refuse its replacement, so undoCreate avoids that if it is not necessary.
+func (w *WAL) logContinuesASnapshot() (bool, error) {
+	data, err := w.dir.ReadFile(w.path(logFileName))
+	if err != nil {
+		return false, fault.Wrap(fault.DiskRefused, err, "cannot read the log")
+	}
+	var first record
+	payload, n := nextRecord(data)
+	if n == 0 {
+		return false, nil
+	}
+	if err := msgpack.Unmarshal(payload, &first); err != nil {
+		return false, fault.Wrap(fault.Internal, err, "cannot decode a record")
+	}
+	return first.Base > 0, nil
+}
+
+// replaceLogByState replaces the log by one without a snapshot and entries.
+func (w *WAL) replaceLogByState(st raft.HardState) error {
+	payload, err := msgpack.Marshal(&record{State: &st})
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "cannot encode a record")
+	}
+	if err := w.forgetSyncedSize(); err != nil {
+		return err
+	}
+	return replaceFile(w.dir, logFileName, appendFrame(nil, payload))
+}
+
 // reopen switches to a replaced log of the given size.
 func (w *WAL) reopen(snap raft.Snapshot, st raft.HardState, size int64) error {
 	_ = w.logFile.Close()
@@ -413,7 +503,7 @@
 	w.contents.Snapshot = snap
 	w.contents.State = st
 	w.syncedVote = termVoteOf(st)
-	return w.writeSyncedSize()
+	return w.completeWrite()
 }
 
 // Close closes the files without a sync.
