Repair: promote a learner while other voters still save the entry that checks it

In an idle group that lost a voter, and in which the leader's or another voter's disk was slow (from 200 ms a sync) or the link to that voter (round trip 300 ms), no learner was ever promoted. The group stayed at two of three voters, so the next loss left no quorum, and the leader wrote entries to check the learner's disk without end.

Cause: the entry was a membership that changes nothing. The learner confirmed it at once, but no further change is proposed until it is committed, by the slow disk. By then the confirmation was older than maxSavedAgo, and the leader wrote the next one.

ProposeConf now appends an empty entry if nothing differs. It holds up no change, so the decision after the confirmation promotes the learner, whatever the other voters take to commit. It still is refused until the leader could propose the promotion, and no second one is written while the learner lacks the first. The confirmation may be no older than before, so a learner whose disk stalled since is not promoted.

--- a/raft/core.go
+++ b/raft/core.go
@@ -218,7 +218,8 @@
 
 // ProposeConf appends a membership that differs from the current one by at most one voter.
 // It is refused while another change is uncommitted and until the leader has committed an
-// entry of its own term.
+// entry of its own term. If nothing differs, an empty entry is appended: as a membership, it
+// would hold up the next change until it is committed.
 func (c *Core) ProposeConf(next Conf) error {
 	if err := c.checkCanPropose(); err != nil {
 		return err
@@ -229,9 +230,13 @@
 	if voterChanges(c.conf, next) > 1 || len(next.Voters) == 0 {
 		return fault.New(fault.BadRequest, "only one voter can be changed at a time")
 	}
-	next = next.clone()
-	c.append(Entry{Type: EntryConf, Conf: &next})
-	c.refreshConf()
+	if c.conf.equal(next) {
+		c.append(Entry{Type: EntryData})
+	} else {
+		next = next.clone()
+		c.append(Entry{Type: EntryConf, Conf: &next})
+		c.refreshConf()
+	}
 	c.broadcastAppend()
 	return nil
 }
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/umberthread/umberthread/fault"
 	"pgregory.net/rapid"
 )
 
@@ -555,3 +556,38 @@
 		}
 	}
 }
+
+// A leader writes an entry to check the disk of a learner, which must not hold up the promotion of
+// that learner until a slow quorum has committed the entry.
+func TestUnchangedMembershipDoesNotHoldUpTheNextChange(t *testing.T) {
+	conf := Conf{Voters: []Peer{{ID: "a"}, {ID: "b"}}, Learners: []Peer{{ID: "c"}}}
+	o := Options{ID: "a", ElectionTicks: 10, HeartbeatTicks: 2, MaxBatchEntries: 4, Rand: rand.New(rand.NewPCG(1, 1))}
+	c := New(o, HardState{Term: 1, Commit: 1}, Snapshot{Index: 1, Term: 1, Conf: conf}, nil)
+	save := func() {
+		for rd := c.Ready(); !rd.Empty(); rd = c.Ready() {
+			c.Advance(rd)
+		}
+	}
+	c.Campaign()
+	c.Step(Message{Type: MsgPreVoteResp, From: "b", To: "a", Term: 2})
+	c.Step(Message{Type: MsgVoteResp, From: "b", To: "a", Term: 2})
+	save()
+	if err := c.ProposeConf(c.Conf()); fault.CodeOf(err) != fault.Conflict {
+		t.Fatalf("error %v before the first commit of the term, expected %v: entries would pile up", err, fault.Conflict)
+	}
+	c.Step(Message{Type: MsgAppendResp, From: "b", To: "a", Term: 2, Index: 2})
+	save()
+	if err := c.ProposeConf(c.Conf()); err != nil {
+		t.Fatal(err)
+	}
+	save()
+	if c.ConfPending() || c.Commit() != 2 {
+		t.Fatalf("pending %v with commit index %d, expected no pending change and 2", c.ConfPending(), c.Commit())
+	}
+	if err := c.ProposeConf(c.Conf().With(Peer{ID: "c"}, true)); err != nil {
+		t.Fatal(err)
+	}
+	if !c.ConfPending() || !c.Conf().IsVoter("c") {
+		t.Fatalf("membership %v, pending %v: expected the promotion of c", c.Conf(), c.ConfPending())
+	}
+}
--- a/raft/types.go
+++ b/raft/types.go
@@ -38,6 +38,11 @@
 	return Conf{slices.Clone(c.Voters), slices.Clone(c.Learners)}
 }
 
+// equal reports whether c and other have the same members with the same addresses.
+func (c Conf) equal(other Conf) bool {
+	return slices.Equal(c.Voters, other.Voters) && slices.Equal(c.Learners, other.Learners)
+}
+
 // IsVoter reports whether id is a voter.
 func (c Conf) IsVoter(id string) bool { return containsPeer(c.Voters, id) }
 
--- a/repair/disk_test.go
+++ b/repair/disk_test.go
@@ -62,6 +62,9 @@
 	// stopsWhenRefused makes a replica stop for good when its disk refuses a write.
 	stopsWhenRefused bool
 	kinds            []string
+	// syncOf holds the time of each sync of particular replicas, and delayOf the additional
+	// delay of each message from and to them.
+	syncOf, delayOf map[string]time.Duration
 }
 
 // diskReplica is a replica with its process and its disk.
@@ -93,10 +96,12 @@
 // diskGroup simulates a group in virtual time.
 type diskGroup struct {
 	diskScenario
-	rng         *rand.Rand
-	clock       time.Duration
-	replicas    []*diskReplica
-	inFlight    []raft.Message
+	rng      *rand.Rand
+	clock    time.Duration
+	replicas []*diskReplica
+	inFlight []raft.Message
+	// delayed are the messages over slow links.
+	delayed     []delayedMessage
 	nextCommand time.Duration
 	// messageLoss is the part of the messages that the network loses.
 	messageLoss float64
@@ -123,6 +128,12 @@
 	err        error
 }
 
+// delayedMessage is a message with its arrival time.
+type delayedMessage struct {
+	arrival time.Duration
+	raft.Message
+}
+
 // diskProposal is a proposed command.
 type diskProposal struct {
 	term uint64
@@ -231,7 +242,7 @@
 		r.save, r.saveEnd = &rd, f.clock
 		synced := rd.State != nil && (rd.State.Term != r.state.Term || rd.State.Vote != r.state.Vote)
 		if synced || len(rd.Entries) > 0 || rd.Snapshot != nil {
-			r.saveEnd += time.Millisecond + time.Duration(f.rng.Int64N(int64(f.slowest)))
+			r.saveEnd += f.syncTime(r)
 		}
 		f.finishSave(r)
 	}
@@ -242,6 +253,14 @@
 	}
 }
 
+// syncTime returns the duration of a replica's next sync.
+func (f *diskGroup) syncTime(r *diskReplica) time.Duration {
+	if d, ok := f.syncOf[r.ID]; ok {
+		return d
+	}
+	return time.Millisecond + time.Duration(f.rng.Int64N(int64(f.slowest)))
+}
+
 // finishSave ends the save in progress once it is due, unless the disk refuses it.
 func (f *diskGroup) finishSave(r *diskReplica) {
 	if r.save == nil || r.saveEnd > f.clock {
@@ -275,11 +294,33 @@
 	delete(f.proposed, e.Index)
 }
 
+// arrivingMessages returns the messages that arrive in this step.
+func (f *diskGroup) arrivingMessages() []raft.Message {
+	var arriving []raft.Message
+	for _, m := range f.inFlight {
+		if d := max(f.delayOf[m.From], f.delayOf[m.To]); d > 0 {
+			f.delayed = append(f.delayed, delayedMessage{f.clock + d, m})
+		} else {
+			arriving = append(arriving, m)
+		}
+	}
+	f.inFlight = nil
+	var later []delayedMessage
+	for _, m := range f.delayed {
+		if m.arrival > f.clock {
+			later = append(later, m)
+		} else {
+			arriving = append(arriving, m.Message)
+		}
+	}
+	f.delayed = later
+	return arriving
+}
+
 // advance runs the simulation for one step.
 func (f *diskGroup) advance() {
 	f.clock += diskStep
-	msgs := f.inFlight
-	f.inFlight = nil
+	msgs := f.arrivingMessages()
 	for _, m := range msgs {
 		if to := f.replica(m.To); to != nil && to.isActive() && f.rng.Float64() >= f.messageLoss {
 			to.core.Step(m)
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -138,8 +138,9 @@
 	return Plan{}, false
 }
 
-// maxSavedAgo is the maximum age of the last entry that a learner confirmed when it is promoted. It
-// exceeds the interval between two decisions, so that a confirmed entry is seen in time.
+// maxSavedAgo is the maximum time since a learner last confirmed an entry when it is promoted. It
+// exceeds the interval between two decisions, so that one of them follows in time. None may be
+// left out for the commit of the entry that checks the disk: other voters may take longer for it.
 const maxSavedAgo = 250 * time.Millisecond
 
 // promoteLearner plans the promotion of a healthy learner that has confirmed an entry recently.
