--- a/raft/refused_write_test.go
+++ b/raft/refused_write_test.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"testing"
-
-	"pgregory.net/rapid"
 )
 
 // refuseSave fails the pending save of a replica, which may have reached the disk all the same.
@@ -28,22 +26,4 @@
 
 // TestReplicasAgreeAfterRefusedWrites is TestReplicasAgreeWhileDisksStall with disks that refuse
 // saves and take a rewritten log later.
-func TestReplicasAgreeAfterRefusedWrites(t *testing.T) {
-	// Guards against runs in which hardly anything is committed.
-	const groups, minApplied = 10, 20000
-	commits := 0
-	rapid.Check(t, func(t *rapid.T) {
-		for range groups {
-			c := newSimCluster(t, rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "n"), rapid.Uint64().Draw(t, "seed"))
-			c.slowSaves, c.refuseSaves = true, true
-			c.runSlowSaveSteps(t, rapid.IntRange(500, 3000).Draw(t, "steps"))
-			commits += c.appliedEntries
-			if !c.lostQuorum() && !c.recoversAfterFaults() {
-				t.Fatal("the group does not recover after the faults")
-			}
-		}
-	})
-	if commits < minApplied {
-		t.Errorf("%d entries were applied, at least %d expected", commits, minApplied)
-	}
-}
+func TestReplicasAgreeAfterRefusedWrites(t *testing.T) { checkSlowSaves(t, true) }
--- a/raft/stall_test.go
+++ b/raft/stall_test.go
@@ -242,14 +242,18 @@
 
 // TestReplicasAgreeWhileDisksStall is TestReplicasAgree with saves of arbitrary duration and
 // crashes between a save and its confirmation.
-func TestReplicasAgreeWhileDisksStall(t *testing.T) {
+func TestReplicasAgreeWhileDisksStall(t *testing.T) { checkSlowSaves(t, false) }
+
+// checkSlowSaves runs groups whose saves end late and, if refuse is set, whose disks refuse some
+// of them, and checks that the replicas agree and the groups recover.
+func checkSlowSaves(t *testing.T, refuse bool) {
 	// Guards against runs in which hardly anything is committed.
 	const groups, minApplied = 10, 20000
 	commits := 0
 	rapid.Check(t, func(t *rapid.T) {
 		for range groups {
 			c := newSimCluster(t, rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "n"), rapid.Uint64().Draw(t, "seed"))
-			c.slowSaves = true
+			c.slowSaves, c.refuseSaves = true, refuse
 			c.runSlowSaveSteps(t, rapid.IntRange(500, 3000).Draw(t, "steps"))
 			commits += c.appliedEntries
 			if !c.lostQuorum() && !c.recoversAfterFaults() {
