relay test: the server behind the relay outlasts a lack of descriptors too

The echo server of the test runs in the same process and ended at the first error of Accept: if the relay accepted and dialled while the descriptors were being freed one by one, the server's own accept found none. What is asked of the relay is as before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,12 +9,16 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/internal/sock"
 )
 
 // startEcho starts a server that returns what it receives, and returns its address.
 func startEcho(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	// The server shares the descriptors of the process, and must outlast their lack as well.
+	ln := sock.NewRetryListener(tcp, func(error) {}, func() {})
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
 		for {
