Raft: elect a leader also where all disks are equally slow

A group that started with disks of equal speed had no leader for a long time: three voters with syncs of 300 ms median 9.7 s, from 400 ms on most not within 60 s; five that lost their leader at 400 ms median 36 s.

Cause: the wait after a failed election, 125 to 250 ms, was shorter than one save. Each replica voted for itself and, once that was saved, for itself in the next term, before it heard of another.

The wait is now at least two saves of the replica: the last one and the one in progress, as disks may have become slow since. A replica that leaves a candidate the time to win waits as long. It is limited to four election timeouts: without the limit, three voters whose disks had stalled for a minute had no commit in the minute after it, now they commit within 3.6 s.

TestEquallySlowDisksElectLeader, 100 groups, first commit, median and longest: three voters at 300 ms 1.7 and 3.4 s, 400 ms 2.5 and 4.6 s, 1 s 3.8 and 11.0 s; five that lost their leader at 400 ms 2.6 and 4.8 s, 1 s 3.7 and 10.9 s. Three seconds and eight syncs hold up to 800 ms; with 1 s the longest is 11.4 s, so the bound of the new test is nine syncs. The existing test of slow disks keeps eight: longest at 500 ms 4.3 s (before 4.0), 800 ms 6.8 (6.0), 1 s 7.9 (8.3), 3 s 17.9 (16.1). Fast disks are unaffected: 2 ms 0.65 and 1.3 s as before, CommitsResume median 0.62, 99% 1.01, longest 1.13 s as before.

Tried and worse: only the last completed save (five voters at 1 s: longest 18.9 s), only saves with a sync (the same), the time to win left as it was (five voters at 800 ms: 10.6 s), twice the random part (five voters at 1 s: 13.7 s).

--- a/raft/core.go
+++ b/raft/core.go
@@ -98,6 +98,8 @@
 	// saving is set while a Ready is being persisted, for saveTicks so far.
 	saving    bool
 	saveTicks int
+	// lastSaveTicks is how long the last completed save took.
+	lastSaveTicks int
 	// transferee is the voter to which this leader transfers leadership, "" if none, and
 	// transferTicks is the age of the transfer.
 	transferee    string
@@ -327,6 +329,7 @@
 		return
 	}
 	c.saving = false
+	c.lastSaveTicks = c.saveTicks
 	if r.State != nil {
 		c.savedState = *r.State
 	}
--- a/raft/election.go
+++ b/raft/election.go
@@ -91,9 +91,25 @@
 // split, or for voters that heard the lost leader for a moment longer.
 const retryDivisor = 4
 
+// retrySaves is the minimum timeout after a failed election in saves of this replica: a vote needs
+// one of the candidate and one of the voter. Replicas whose disks are equally slow would otherwise
+// all vote for themselves, again and again, before they hear of each other.
+const retrySaves = 2
+
+// maxRetryElections limits the part of the saves in election timeouts. Replicas would otherwise
+// wait twice as long as a stall of their disks that is over.
+const maxRetryElections = 4
+
+// minRetryTimeout returns the minimum timeout after a failed election. The save in progress
+// counts as well: disks may have become slow since the last one.
+func (c *Core) minRetryTimeout() int {
+	saves := retrySaves * max(c.lastSaveTicks, c.SaveTicks())
+	return max(1, c.options.ElectionTicks/retryDivisor, min(saves, maxRetryElections*c.options.ElectionTicks))
+}
+
 // randomRetryTimeout returns a random timeout until the next election attempt.
 func (c *Core) randomRetryTimeout() int {
-	part := max(1, c.options.ElectionTicks/retryDivisor)
+	part := c.minRetryTimeout()
 	return part + c.options.Rand.IntN(part)
 }
 
@@ -104,7 +120,7 @@
 		return
 	}
 	c.electionDeferred = true
-	c.electionTimeout = max(c.electionTimeout, c.electionElapsed+max(1, c.options.ElectionTicks/retryDivisor))
+	c.electionTimeout = max(c.electionTimeout, c.electionElapsed+c.minRetryTimeout())
 }
 
 // campaign starts an election. transfer is set if the leader requested it.
--- a/raft/slowdisk_test.go
+++ b/raft/slowdisk_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -201,6 +202,64 @@
 	return ok && t == term && r.core.Commit() >= index
 }
 
+// checkTimesToCommit checks the times until the first commit of many groups, with syncs of the
+// given duration.
+func checkTimesToCommit(t *testing.T, name string, sync time.Duration, took []time.Duration) {
+	t.Helper()
+	// Split votes and lost commands add up to baseTime, besides consecutive syncs.
+	const baseTime, syncCount = 3 * time.Second, 9
+	n := len(took)
+	slices.Sort(took)
+	t.Logf("%s, sync %v: first commit: median %v, 90%% %v, 99%% %v, longest %v", name, sync, took[n/2], took[n*9/10], took[n*99/100], took[n-1])
+	if maxTime := baseTime + syncCount*sync; took[n-1] > maxTime {
+		t.Errorf("%s, sync %v: longest %v, limit %v", name, sync, took[n-1], maxTime)
+	}
+}
+
+// Replicas whose disks are equally slow must not vote for themselves, all of them and again and
+// again, because each starts its next attempt before the others' votes are saved.
+func TestEquallySlowDisksElectLeader(t *testing.T) {
+	const groups, limit = 100, time.Minute
+	for _, n := range []int{3, 5} {
+		for _, sync := range []time.Duration{2, 100, 200, 300, 400, 500, 800, 1000} {
+			sync *= time.Millisecond
+			var started, lostLeader []time.Duration
+			for seed := range uint64(groups) {
+				s := newSlowGroup(seed, n)
+				s.defaultSync = sync
+				started = append(started, s.timeToCommit(limit))
+
+				s = newSlowGroup(seed, n)
+				s.defaultSync = 2 * time.Millisecond
+				s.timeToCommit(limit)
+				s.isolated = s.leaderID()
+				s.defaultSync = sync
+				lostLeader = append(lostLeader, s.timeToCommit(limit))
+			}
+			checkTimesToCommit(t, fmt.Sprintf("%d voters start together", n), sync, started)
+			checkTimesToCommit(t, fmt.Sprintf("%d voters lose their leader", n), sync, lostLeader)
+		}
+	}
+}
+
+// Replicas whose disks all stalled during an election must not wait in proportion to the stall once
+// it is over.
+func TestLongStallDoesNotDelayLaterElections(t *testing.T) {
+	const groups, stall, maxTime = 20, time.Minute, 5 * time.Second
+	longest := time.Duration(0)
+	for seed := range uint64(groups) {
+		s := newSlowGroup(seed, 3)
+		s.defaultSync = stall
+		s.timeToCommit(stall)
+		s.defaultSync = 2 * time.Millisecond
+		longest = max(longest, s.timeToCommit(time.Minute))
+	}
+	t.Logf("longest time to the first commit after a stall of %v: %v", stall, longest)
+	if longest > maxTime {
+		t.Errorf("longest time to the first commit %v, limit %v", longest, maxTime)
+	}
+}
+
 // TestElectionWithSlowDisks runs elections with syncs that take longer than the candidate's
 // timeout. Votes that arrive after the candidate's next attempt has started must still count.
 func TestElectionWithSlowDisks(t *testing.T) {
