Raft: send what a lost message held up, also in an idle group

In an idle group a replica that missed one message could lack entries until the next command. A learner was never promoted, so that the group stayed at two of three voters, and a membership change stayed uncommitted.

Two causes, each of which the test finds alone.

And over a link with a round trip longer than the heartbeat interval, no answer counted, since each was to an earlier round than the last one: a lost append was never found.

Now the answer to a heartbeat that shows progress continues like a confirmation, and a round stays open until it or a later one is answered.

--- a/raft/core.go
+++ b/raft/core.go
@@ -34,7 +34,8 @@
 	// nextIndex is the index of the next entry to send.
 	nextIndex uint64
 	// heartbeatMatchIndex is matchIndex as of the last answered heartbeat round, and
-	// heartbeatNextIndex is nextIndex as of the sending of the current round, heartbeatRound.
+	// heartbeatNextIndex is nextIndex as of the sending of heartbeatRound, 0 once that round or
+	// a later one is answered.
 	heartbeatMatchIndex, heartbeatNextIndex, heartbeatRound uint64
 	// ackedHeartbeatRound is the last heartbeat round that the replica answered.
 	ackedHeartbeatRound uint64
--- a/raft/election.go
+++ b/raft/election.go
@@ -35,7 +35,11 @@
 		c.heartbeatElapsed = 0
 		c.heartbeatRound++
 		for _, p := range c.peers {
-			p.heartbeatNextIndex, p.heartbeatRound = p.nextIndex, c.heartbeatRound
+			// A round stays open until it is answered: over a slow link, the answers would
+			// always be to earlier rounds.
+			if p.heartbeatNextIndex == 0 {
+				p.heartbeatNextIndex, p.heartbeatRound = p.nextIndex, c.heartbeatRound
+			}
 		}
 		c.sendHeartbeats()
 	}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -202,10 +202,15 @@
 	}
 	p.ackedHeartbeatRound = max(p.ackedHeartbeatRound, m.Round)
 	c.confirmReads()
+	saved := p.matchIndex
 	c.recordSaved(p, m.Saved)
 	if c.role != Leader {
 		return
 	}
+	if p.matchIndex > saved && p.nextIndex <= c.log.lastIndex() {
+		// The response that would have asked for further entries was lost.
+		c.sendAppend(m.From, p)
+	}
 	if m.Round >= p.heartbeatRound && p.heartbeatNextIndex > 0 {
 		c.resendLost(m, p)
 	}
--- a/repair/promotion_test.go
+++ b/repair/promotion_test.go
@@ -40,10 +40,10 @@
 
 // run returns the time from the loss of a voter until the group tolerates the next loss, at most
 // limit, and the number of entries that checked the disk of a learner.
-func (c promotionCase) run(t *testing.T, seed uint64, limit time.Duration) (took time.Duration, checks int) {
+func (c promotionCase) run(t *testing.T, seed uint64, messageLoss float64, limit time.Duration) (took time.Duration, checks int) {
 	s := diskScenario{available: 4, voters: 3, slowest: diskNormalSync, syncOf: map[string]time.Duration{}, delayOf: map[string]time.Duration{}}
 	f := newDiskGroup(seed, s)
-	f.commandInterval, f.messageLoss = time.Hour, 0
+	f.commandInterval, f.messageLoss = time.Hour, messageLoss
 	f.runFor(5 * time.Second)
 	leader := f.leader()
 	if leader == nil {
@@ -76,22 +76,20 @@
 	return f.clock - start, checks
 }
 
-// A learner confirms the entry that checks its disk long before a slow voter does. The wait for
-// that voter must not make the confirmation too old for the promotion: the group would write one
-// entry after the other and stay at two of three voters.
-func TestLateCommitsDoNotKeepLearnerFromPromotion(t *testing.T) {
+// checkPromotions runs all cases and checks that the next loss is tolerated within baseTime and
+// consecutive syncs of the slow disk.
+func checkPromotions(t *testing.T, messageLoss float64, baseTime time.Duration) {
+	t.Helper()
 	const (
-		draws = 20
-		limit = 30 * time.Second
-		// baseTime is the time until the lost voter is replaced, besides consecutive syncs
-		// of the slow disk.
-		baseTime, syncCount = 3500 * time.Millisecond, 2
-		maxChecks           = 1
+		draws     = 20
+		limit     = 30 * time.Second
+		syncCount = 2
+		maxChecks = 1
 	)
 	for _, c := range promotionCases() {
 		longest, mostChecks := time.Duration(0), 0
 		for seed := range uint64(draws) {
-			took, checks := c.run(t, seed, limit)
+			took, checks := c.run(t, seed, messageLoss, limit)
 			longest, mostChecks = max(longest, took), max(mostChecks, checks)
 		}
 		t.Logf("%s: the next loss is tolerated after at most %v, with at most %d checks of the learner's disk", c.name, longest, mostChecks)
@@ -103,3 +101,16 @@
 		}
 	}
 }
+
+// A learner confirms the entry that checks its disk long before a slow voter does. The wait for
+// that voter must not make the confirmation too old for the promotion: the group would write one
+// entry after the other and stay at two of three voters.
+func TestLateCommitsDoNotKeepLearnerFromPromotion(t *testing.T) {
+	checkPromotions(t, 0, 3500*time.Millisecond)
+}
+
+// In an idle group no later entry shows that a message was lost. The leader must notice from the
+// heartbeats, also over links that take longer than the time between two of them.
+func TestLostMessagesDoNotKeepIdleLearnerFromPromotion(t *testing.T) {
+	checkPromotions(t, diskMessageLoss, 4500*time.Millisecond)
+}
