--- a/raft/core.go
+++ b/raft/core.go
@@ -34,7 +34,8 @@
 	// nextIndex is the index of the next entry to send.
 	nextIndex uint64
 	// heartbeatMatchIndex is matchIndex as of the last answered heartbeat round, and
-	// heartbeatNextIndex is nextIndex as of the sending of the current round, heartbeatRound.
+	// heartbeatNextIndex is nextIndex as of the sending of heartbeatRound, 0 once that round or
+	// a later one is answered.
 	heartbeatMatchIndex, heartbeatNextIndex, heartbeatRound uint64
 	// ackedHeartbeatRound is the last heartbeat round that the replica answered.
 	ackedHeartbeatRound uint64
@@ -98,6 +99,8 @@
 	// saving is set while a Ready is being persisted, for saveTicks so far.
 	saving    bool
 	saveTicks int
+	// lastSaveTicks is how long the last completed save took.
+	lastSaveTicks int
 	// transferee is the voter to which this leader transfers leadership, "" if none, and
 	// transferTicks is the age of the transfer.
 	transferee    string
@@ -327,6 +330,7 @@
 		return
 	}
 	c.saving = false
+	c.lastSaveTicks = c.saveTicks
 	if r.State != nil {
 		c.savedState = *r.State
 	}
