control: one late reply does not cut off the other calls to a peer

All calls to a peer share a connection: raft messages, claims, identity checks. A call without a reply in time closed it, however short the call's time was: a waiting command asks a last time with what is left of its wait, and 20 ms on top. Each of the others was then sent again, over a connection of its own that most of them dialled. Beside load that goes on by itself: late replies close connections, and what follows makes replies late.

A connection is now closed if nothing arrives on it while a call of at least 80 ms waits, or if the request could not be written. Replies are decoded apart from the caller's value, which a late one would write while the caller reads it.

TestLateReplyDoesNotCutOffOtherCalls failed before (another call was cut off). TestSilentConnectionIsReplaced passed before and does now.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -235,6 +236,10 @@
 // calls go to random members of a large failure domain, so more are rarely reused.
 const maxConns = 48
 
+// minSilence is how long nothing must arrive on a connection before it counts as dead: a
+// busy peer may answer later than a call with a short timeout can wait.
+const minSilence = 80 * time.Millisecond
+
 // Pool makes RPC calls over one connection for each of the most recently called
 // addresses. It is safe for concurrent use.
 type Pool struct {
@@ -248,10 +253,26 @@
 // pooledConn is a connection with its usage, by which idle ones are evicted.
 type pooledConn struct {
 	client      *rpc.Client
+	received    *receiptConn
 	lastUse     time.Time
 	activeCalls int
 }
 
+// receiptConn is a connection that counts the reads that received data.
+type receiptConn struct {
+	net.Conn
+	receipts atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *receiptConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.receipts.Add(1)
+	}
+	return n, err
+}
+
 // Dialer opens a connection to a control address.
 type Dialer func(addr string, timeout time.Duration) (net.Conn, error)
 
@@ -265,10 +286,11 @@
 	return &Pool{counter: c, dial: dial, conns: map[string]*pooledConn{}}
 }
 
-// Call calls a method of the node at addr. A connection without a reply in time
-// is closed, as it may be dead while a new one works. If a reused connection
-// turns out to be closed, its process may have been restarted, so the call is
-// sent once more on a new connection; all methods are idempotent.
+// Call calls a method of the node at addr. A connection on which nothing arrives while
+// a call waits for its reply is closed, as it may be dead while a new one works; other calls
+// on it go on if only one reply is late. If a reused connection turns out to be closed, its
+// process may have been restarted, so the call is sent once more on a new connection; all
+// methods are idempotent. The reply is not written after Call has returned.
 func (p *Pool) Call(addr, method string, args, reply any, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
 	for first := true; ; first = false {
@@ -288,17 +310,26 @@
 func (p *Pool) callOn(c *pooledConn, addr, method string, args, reply any, timeout time.Duration) (closed bool, err error) {
 	defer p.release(c)
 	expired := make(chan struct{})
+	var sent atomic.Bool
+	receipts := c.received.receipts.Load()
 	// net/rpc writes the request on this goroutine. The write blocks while the peer reads
 	// nothing, until the connection is closed.
 	t := time.AfterFunc(timeout, func() {
-		p.discard(addr, c)
+		silent := timeout >= minSilence && c.received.receipts.Load() == receipts
+		if silent || !sent.Load() {
+			p.discard(addr, c)
+		}
 		close(expired)
 	})
 	defer t.Stop()
-	call := c.client.Go(ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	// A late reply is decoded after this call, while the caller reads its own value.
+	decoded := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.client.Go(ServiceName+"."+method, args, decoded.Interface(), make(chan *rpc.Call, 1))
+	sent.Store(true)
 	select {
 	case <-call.Done:
 		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(decoded.Elem())
 			return false, nil
 		}
 	case <-expired:
@@ -323,7 +354,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	fresh := &pooledConn{client: rpc.NewClient(CountingConn{conn, p.counter})}
+	received := &receiptConn{Conn: CountingConn{conn, p.counter}}
+	fresh := &pooledConn{client: rpc.NewClient(received), received: received}
 	c = p.takeOrAdd(addr, fresh)
 	if c != fresh {
 		_ = fresh.client.Close()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -29,12 +29,15 @@
 }
 
 // startServer starts a server, retrying while the address is in use.
-func startServer(g *gomega.WithT, addr string) *testServer {
+func startServer(g *gomega.WithT, addr string) *testServer { return startServerOf(g, addr, echo{}) }
+
+// startServerOf does the same with another service.
+func startServerOf(g *gomega.WithT, addr string, service any) *testServer {
 	var ln net.Listener
 	g.Eventually(func() (err error) { ln, err = net.Listen("tcp", addr); return err }, 5*time.Second, time.Millisecond).Should(gomega.Succeed())
 	p := &testServer{ln: ln}
 	srv := rpc.NewServer()
-	g.Expect(srv.RegisterName(ServiceName, echo{})).To(gomega.Succeed())
+	g.Expect(srv.RegisterName(ServiceName, service)).To(gomega.Succeed())
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -60,6 +63,13 @@
 	}
 }
 
+// accepted returns the number of accepted connections.
+func (p *testServer) accepted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
 // TestCallReachesRestartedServer guards against a call that fails because the
 // pooled connection leads to the previous process at the address.
 func TestCallReachesRestartedServer(t *testing.T) {
@@ -106,3 +116,92 @@
 	g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.PeerSilent))
 	g.Expect(fault.From(err).Execution).To(gomega.Equal(fault.ExecutionUnknown))
 }
+
+// slow replies to Submit only after a wait, and to Fetch at once.
+type slow struct{ echo }
+
+// Submit implements the Submit method of the service.
+func (slow) Submit(req *SubmitRequest, reply *SubmitReply) error {
+	time.Sleep(time.Duration(req.WaitMs) * time.Millisecond)
+	reply.Result = req.Command
+	return nil
+}
+
+// Guards against a storm of connections beside load: one late reply closed the connection that
+// all calls to the peer share, and each of them was sent again.
+func TestLateReplyDoesNotCutOffOtherCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := startServerOf(g, "127.0.0.1:0", slow{})
+	defer server.stop()
+	addr := server.ln.Addr().String()
+	pool := NewPool(&ByteCounter{}, DialTCP)
+	defer pool.Close()
+	submit := func(command string, replyAfter, timeout time.Duration) (string, error) {
+		reply := &SubmitReply{}
+		err := pool.Call(addr, "Submit", &SubmitRequest{Command: []byte(command), WaitMs: replyAfter.Milliseconds()}, reply, timeout)
+		return string(reply.Result), err
+	}
+	g.Expect(pool.Call(addr, "Fetch", &FetchRequest{}, &FetchReply{}, 5*time.Second)).To(gomega.Succeed())
+	pending := make(chan error, 1)
+	go func() {
+		result, err := submit("pending", time.Second, 10*time.Second)
+		if err == nil && result != "pending" {
+			err = fault.New(fault.Internal, "another reply: "+result)
+		}
+		pending <- err
+	}()
+	var others sync.WaitGroup
+	for range 8 {
+		others.Go(func() {
+			_, _ = submit("late", 300*time.Millisecond, 200*time.Millisecond)
+			_, _ = submit("short", 300*time.Millisecond, 20*time.Millisecond)
+		})
+	}
+	// Replies show that the connection is alive.
+	for range 60 {
+		g.Expect(pool.Call(addr, "Fetch", &FetchRequest{}, &FetchReply{}, 5*time.Second)).To(gomega.Succeed())
+		time.Sleep(5 * time.Millisecond)
+	}
+	others.Wait()
+	g.Expect(<-pending).NotTo(gomega.HaveOccurred())
+	g.Expect(server.accepted()).To(gomega.Equal(1))
+}
+
+// Guards against a reply that arrives after its call has ended and changes what the caller reads.
+func TestLateReplyIsNotWritten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := startServerOf(g, "127.0.0.1:0", slow{})
+	defer server.stop()
+	addr := server.ln.Addr().String()
+	pool := NewPool(&ByteCounter{}, DialTCP)
+	defer pool.Close()
+	reply := &SubmitReply{}
+	err := pool.Call(addr, "Submit", &SubmitRequest{Command: []byte("late"), WaitMs: 60}, reply, 20*time.Millisecond)
+	g.Expect(fault.CodeOf(err)).To(gomega.Equal(fault.PeerSilent))
+	g.Consistently(func() []byte { return reply.Result }, 200*time.Millisecond, time.Millisecond).Should(gomega.BeEmpty())
+}
+
+// Guards against a connection that is dead for one that is merely slow: a silent connection is
+// replaced once a call got no reply.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := startServer(g, "127.0.0.1:0")
+	defer server.stop()
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = silent.Close() }()
+	dials := 0
+	pool := NewPool(&ByteCounter{}, func(addr string, timeout time.Duration) (net.Conn, error) {
+		dials++
+		if dials == 1 {
+			addr = silent.Addr().String()
+		}
+		return DialTCP(addr, timeout)
+	})
+	defer pool.Close()
+	fetch := func() error {
+		return pool.Call(server.ln.Addr().String(), "Fetch", &FetchRequest{}, &FetchReply{}, minSilence+20*time.Millisecond)
+	}
+	g.Expect(fault.CodeOf(fetch())).To(gomega.Equal(fault.PeerSilent))
+	g.Expect(fetch()).To(gomega.Succeed())
+}
