--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -236,6 +236,10 @@
 // calls go to random members of a large failure domain, so more are rarely reused.
 const maxConns = 48
 
+// dialTimeout bounds the attempt to open a connection. It goes on for the next calls if the one
+// that began it cannot wait.
+const dialTimeout = 500 * time.Millisecond
+
 // minSilence is how long nothing must arrive on a connection before it counts as dead: a
 // busy peer may answer later than a call with a short timeout can wait.
 const minSilence = 80 * time.Millisecond
@@ -248,6 +252,14 @@
 
 	mu    sync.Mutex
 	conns map[string]*pooledConn
+	dials map[string]*pendingDial
+}
+
+// pendingDial is an attempt to open a connection, shared by the calls that need it. done is
+// closed at its end, after err is set.
+type pendingDial struct {
+	done chan struct{}
+	err  error
 }
 
 // pooledConn is a connection with its usage, by which idle ones are evicted.
@@ -283,7 +295,7 @@
 
 // NewPool returns an empty pool whose traffic is counted in c.
 func NewPool(c *ByteCounter, dial Dialer) *Pool {
-	return &Pool{counter: c, dial: dial, conns: map[string]*pooledConn{}}
+	return &Pool{counter: c, dial: dial, conns: map[string]*pooledConn{}, dials: map[string]*pendingDial{}}
 }
 
 // Call calls a method of the node at addr. A connection on which nothing arrives while
@@ -347,39 +359,57 @@
 // acquire returns a connection to addr, dialled if there is none; reused reports
 // whether it was in the pool.
 func (p *Pool) acquire(addr string, timeout time.Duration) (c *pooledConn, reused bool, err error) {
-	if c := p.takeOrAdd(addr, nil); c != nil {
-		return c, true, nil
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	for first := true; ; first = false {
+		c, dial := p.takeOrDial(addr)
+		if c != nil {
+			return c, first, nil
+		}
+		select {
+		case <-dial.done:
+			if dial.err != nil {
+				return nil, false, dial.err
+			}
+		case <-t.C:
+			return nil, false, fault.New(fault.PeerSilent, "no connection in time")
+		}
 	}
-	conn, err := p.dial(addr, timeout)
-	if err != nil {
-		return nil, false, err
+}
+
+// takeOrDial returns the pool's connection to addr and counts a call on it or, if there is
+// none, the attempt to open one.
+func (p *Pool) takeOrDial(addr string) (*pooledConn, *pendingDial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[addr]; c != nil {
+		c.activeCalls++
+		c.lastUse = time.Now()
+		return c, nil
 	}
-	received := &receiptConn{Conn: CountingConn{conn, p.counter}}
-	fresh := &pooledConn{client: rpc.NewClient(received), received: received}
-	c = p.takeOrAdd(addr, fresh)
-	if c != fresh {
-		_ = fresh.client.Close()
+	d := p.dials[addr]
+	if d == nil {
+		d = &pendingDial{done: make(chan struct{})}
+		p.dials[addr] = d
+		go p.open(addr, d)
 	}
-	return c, c != fresh, nil
+	return nil, d
 }
 
-// takeOrAdd returns the pool's connection to addr, or adds fresh if there is none
-// and fresh isn't nil, and counts a call on it.
-func (p *Pool) takeOrAdd(addr string, fresh *pooledConn) *pooledConn {
+// open opens a connection to addr and adds it to the pool.
+func (p *Pool) open(addr string, d *pendingDial) {
+	conn, err := p.dial(addr, dialTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.conns[addr]
-	if c == nil {
-		if fresh == nil {
-			return nil
-		}
-		p.evictIdle()
-		c = fresh
-		p.conns[addr] = c
+	defer close(d.done)
+	delete(p.dials, addr)
+	if err != nil {
+		d.err = err
+		return
 	}
-	c.activeCalls++
-	c.lastUse = time.Now()
-	return c
+	p.evictIdle()
+	received := &receiptConn{Conn: CountingConn{conn, p.counter}}
+	p.conns[addr] = &pooledConn{client: rpc.NewClient(received), received: received, lastUse: time.Now()}
 }
 
 // evictIdle closes the least recently used connection without calls if the pool
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -205,3 +205,26 @@
 	g.Expect(fault.CodeOf(fetch())).To(gomega.Equal(fault.PeerSilent))
 	g.Expect(fetch()).To(gomega.Succeed())
 }
+
+// Guards against a connection for each of the calls that wait while there is none.
+func TestConcurrentCallsShareOneConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := startServer(g, "127.0.0.1:0")
+	defer server.stop()
+	pool := NewPool(&ByteCounter{}, func(addr string, timeout time.Duration) (net.Conn, error) {
+		time.Sleep(50 * time.Millisecond)
+		return DialTCP(addr, timeout)
+	})
+	defer pool.Close()
+	var calls sync.WaitGroup
+	for range 200 {
+		calls.Go(func() {
+			err := pool.Call(server.ln.Addr().String(), "Fetch", &FetchRequest{}, &FetchReply{}, 5*time.Second)
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	calls.Wait()
+	g.Expect(server.accepted()).To(gomega.Equal(1))
+}
