raft: a follower does not copy its log for each append

mergeEntries cut the capacity of the log at each message, so that the append copied all of it: with 4000 entries 224 kB for one entry.

The capacity is cut where entries are replaced, only then can an append overwrite what another slice shows; entries beyond the end of the log are nobody's.

--- a/raft/log.go
+++ b/raft/log.go
@@ -1,5 +1,7 @@
 package raft
 
+import "slices"
+
 // raftLog holds the snapshot and the entries after it.
 type raftLog struct {
 	snapshot Snapshot
@@ -59,9 +61,12 @@
 		if t, ok := l.term(e.Index); ok && t == e.Term {
 			continue
 		}
-		l.truncate(e.Index)
-		// Clip the capacity so that the append copies instead of overwriting shared entries.
-		l.entries = append(l.entries[:len(l.entries):len(l.entries)], es[i:]...)
+		if e.Index <= l.lastIndex() {
+			l.truncate(e.Index)
+			// Clip the capacity so that the append copies instead of overwriting shared entries.
+			l.entries = slices.Clip(l.entries)
+		}
+		l.entries = append(l.entries, es[i:]...)
 		return
 	}
 }
