seek: a search that waits for a slow leader asks the others less often

While the leader's answer is awaited, the other replicas are asked whether there is a new one. Each that named the same leader was followed by the next question 20 ms later: in 3 s 148 requests of one waiting command (TestSearchWithSlowLeaderSlowsDown, which failed), so 1000 commands that wait for a slow commit send some 49,000 a second (worked out), to replicas that then were slower still. Such answers now double the interval, up to 60 ms, as those that name no leader do; it starts anew when the answers change.

At most 55 requests in 3 s.

--- a/seek/seek.go
+++ b/seek/seek.go
@@ -10,7 +10,8 @@
 	// went to an unresponsive replica.
 	requestInterval = 20 * time.Millisecond
 	// maxRequestInterval bounds that delay, which doubles with each answer that names no
-	// leader: many searches at once would otherwise keep the replicas from an election.
+	// leader, or one whose answer is awaited already: many searches at once would otherwise
+	// keep the replicas from an election, or from the commit.
 	maxRequestInterval = 60 * time.Millisecond
 	// unresponsiveHintDelay is how long an unresponsive replica is not asked on another
 	// replica's hint, since replicas that have not noticed its loss still name it as
@@ -38,13 +39,15 @@
 	leaderHint string
 	// nextRequestAt is the earliest time of the next request.
 	nextRequestAt time.Duration
-	// leaderlessInterval is the delay after the next answer that names no leader.
-	leaderlessInterval time.Duration
+	// fruitlessInterval is the delay after the next answer that names no leader to ask, and
+	// fruitlessHint the leader that the last one named.
+	fruitlessInterval time.Duration
+	fruitlessHint     string
 }
 
 // New returns a search that starts with the likely leader, "" if unknown.
 func New(hint string) *LeaderSearch {
-	return &LeaderSearch{replicas: map[string]*replicaState{}, leaderHint: hint, leaderlessInterval: requestInterval}
+	return &LeaderSearch{replicas: map[string]*replicaState{}, leaderHint: hint, fruitlessInterval: requestInterval}
 }
 
 // NextReplica returns the replica to ask now, given the addresses of all known replicas,
@@ -110,12 +113,16 @@
 	if leader != addr {
 		s.leaderHint = leader
 	}
-	if s.leaderHint == "" {
-		s.nextRequestAt = now + s.leaderlessInterval
-		s.leaderlessInterval = min(2*s.leaderlessInterval, maxRequestInterval)
+	if s.leaderHint == "" || s.stateOf(s.leaderHint).requestPending {
+		if s.leaderHint != s.fruitlessHint {
+			// The replicas' view has changed, so there may soon be another leader.
+			s.fruitlessHint, s.fruitlessInterval = s.leaderHint, requestInterval
+		}
+		s.nextRequestAt = now + s.fruitlessInterval
+		s.fruitlessInterval = min(2*s.fruitlessInterval, maxRequestInterval)
 		return
 	}
-	s.leaderlessInterval = requestInterval
+	s.fruitlessInterval = requestInterval
 	s.nextRequestAt = now + requestInterval
 	if s.stateOf(s.leaderHint).requests == 0 {
 		// Ask a leader that was not asked yet without delay.
--- a/seek/seek_test.go
+++ b/seek/seek_test.go
@@ -168,3 +168,22 @@
 	}
 	g.Expect(requests).To(BeNumerically("<=", 55))
 }
+
+// Commands that wait for a leader that is slow to commit must not flood the other replicas with
+// questions for another one.
+func TestSearchWithSlowLeaderSlowsDown(t *testing.T) {
+	g := NewWithT(t)
+	const wait = 3 * time.Second
+	addrs := []string{"a", "b", "c"}
+	s := seek.New("a")
+	requests := 0
+	for now := time.Duration(0); now < wait; now += time.Millisecond {
+		if addr, _ := s.NextReplica(now, addrs); addr != "" {
+			requests++
+			if addr != "a" {
+				s.RecordNotLeader(now, addr, "a")
+			}
+		}
+	}
+	g.Expect(requests).To(BeNumerically("<=", 55))
+}
