--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -235,6 +236,14 @@
 // calls go to random members of a large failure domain, so more are rarely reused.
 const maxConns = 48
 
+// dialTimeout bounds the attempt to open a connection. It goes on for the next calls if the one
+// that began it cannot wait.
+const dialTimeout = 500 * time.Millisecond
+
+// minSilence is how long nothing must arrive on a connection before it counts as dead: a
+// busy peer may answer later than a call with a short timeout can wait.
+const minSilence = 80 * time.Millisecond
+
 // Pool makes RPC calls over one connection for each of the most recently called
 // addresses. It is safe for concurrent use.
 type Pool struct {
@@ -243,15 +252,39 @@
 
 	mu    sync.Mutex
 	conns map[string]*pooledConn
+	dials map[string]*pendingDial
+}
+
+// pendingDial is an attempt to open a connection, shared by the calls that need it. done is
+// closed at its end, after err is set.
+type pendingDial struct {
+	done chan struct{}
+	err  error
 }
 
 // pooledConn is a connection with its usage, by which idle ones are evicted.
 type pooledConn struct {
 	client      *rpc.Client
+	received    *receiptConn
 	lastUse     time.Time
 	activeCalls int
 }
 
+// receiptConn is a connection that counts the reads that received data.
+type receiptConn struct {
+	net.Conn
+	receipts atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *receiptConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.receipts.Add(1)
+	}
+	return n, err
+}
+
 // Dialer opens a connection to a control address.
 type Dialer func(addr string, timeout time.Duration) (net.Conn, error)
 
@@ -262,13 +295,14 @@
 
 // NewPool returns an empty pool whose traffic is counted in c.
 func NewPool(c *ByteCounter, dial Dialer) *Pool {
-	return &Pool{counter: c, dial: dial, conns: map[string]*pooledConn{}}
+	return &Pool{counter: c, dial: dial, conns: map[string]*pooledConn{}, dials: map[string]*pendingDial{}}
 }
 
-// Call calls a method of the node at addr. A connection without a reply in time
-// is closed, as it may be dead while a new one works. If a reused connection
-// turns out to be closed, its process may have been restarted, so the call is
-// sent once more on a new connection; all methods are idempotent.
+// Call calls a method of the node at addr. A connection on which nothing arrives while
+// a call waits for its reply is closed, as it may be dead while a new one works; other calls
+// on it go on if only one reply is late. If a reused connection turns out to be closed, its
+// process may have been restarted, so the call is sent once more on a new connection; all
+// methods are idempotent. The reply is not written after Call has returned.
 func (p *Pool) Call(addr, method string, args, reply any, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
 	for first := true; ; first = false {
@@ -288,17 +322,26 @@
 func (p *Pool) callOn(c *pooledConn, addr, method string, args, reply any, timeout time.Duration) (closed bool, err error) {
 	defer p.release(c)
 	expired := make(chan struct{})
+	var sent atomic.Bool
+	receipts := c.received.receipts.Load()
 	// net/rpc writes the request on this goroutine. The write blocks while the peer reads
 	// nothing, until the connection is closed.
 	t := time.AfterFunc(timeout, func() {
-		p.discard(addr, c)
+		silent := timeout >= minSilence && c.received.receipts.Load() == receipts
+		if silent || !sent.Load() {
+			p.discard(addr, c)
+		}
 		close(expired)
 	})
 	defer t.Stop()
-	call := c.client.Go(ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	// A late reply is decoded after this call, while the caller reads its own value.
+	decoded := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.client.Go(ServiceName+"."+method, args, decoded.Interface(), make(chan *rpc.Call, 1))
+	sent.Store(true)
 	select {
 	case <-call.Done:
 		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(decoded.Elem())
 			return false, nil
 		}
 	case <-expired:
@@ -316,38 +359,57 @@
 // acquire returns a connection to addr, dialled if there is none; reused reports
 // whether it was in the pool.
 func (p *Pool) acquire(addr string, timeout time.Duration) (c *pooledConn, reused bool, err error) {
-	if c := p.takeOrAdd(addr, nil); c != nil {
-		return c, true, nil
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	for first := true; ; first = false {
+		c, dial := p.takeOrDial(addr)
+		if c != nil {
+			return c, first, nil
+		}
+		select {
+		case <-dial.done:
+			if dial.err != nil {
+				return nil, false, dial.err
+			}
+		case <-t.C:
+			return nil, false, fault.New(fault.PeerSilent, "no connection in time")
+		}
 	}
-	conn, err := p.dial(addr, timeout)
-	if err != nil {
-		return nil, false, err
+}
+
+// takeOrDial returns the pool's connection to addr and counts a call on it or, if there is
+// none, the attempt to open one.
+func (p *Pool) takeOrDial(addr string) (*pooledConn, *pendingDial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[addr]; c != nil {
+		c.activeCalls++
+		c.lastUse = time.Now()
+		return c, nil
 	}
-	fresh := &pooledConn{client: rpc.NewClient(CountingConn{conn, p.counter})}
-	c = p.takeOrAdd(addr, fresh)
-	if c != fresh {
-		_ = fresh.client.Close()
+	d := p.dials[addr]
+	if d == nil {
+		d = &pendingDial{done: make(chan struct{})}
+		p.dials[addr] = d
+		go p.open(addr, d)
 	}
-	return c, c != fresh, nil
+	return nil, d
 }
 
-// takeOrAdd returns the pool's connection to addr, or adds fresh if there is none
-// and fresh isn't nil, and counts a call on it.
-func (p *Pool) takeOrAdd(addr string, fresh *pooledConn) *pooledConn {
+// open opens a connection to addr and adds it to the pool.
+func (p *Pool) open(addr string, d *pendingDial) {
+	conn, err := p.dial(addr, dialTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.conns[addr]
-	if c == nil {
-		if fresh == nil {
-			return nil
-		}
-		p.evictIdle()
-		c = fresh
-		p.conns[addr] = c
+	defer close(d.done)
+	delete(p.dials, addr)
+	if err != nil {
+		d.err = err
+		return
 	}
-	c.activeCalls++
-	c.lastUse = time.Now()
-	return c
+	p.evictIdle()
+	received := &receiptConn{Conn: CountingConn{conn, p.counter}}
+	p.conns[addr] = &pooledConn{client: rpc.NewClient(received), received: received, lastUse: time.Now()}
 }
 
 // evictIdle closes the least recently used connection without calls if the pool
