node: only current link members say whether a failure domain is reachable

Cause: refreshDomains took a domain for reachable if any known member once said so. A member that is no longer a link member hears nothing more of it, and a link is published when it changes, not repeated, so its word held for as long as it lived; and when the link members that called a domain cut off were lost, nobody called it that until the next ones had failed twice. A node then said 404, 401 or 403 by settings that may be outdated.

By reading, found with it: a link that arrived before its member, or of a member wrongly taken for dead, was dropped and never came again, as it did not change.

Change: links.UpdateDomains, a pure function of the previous state, the reports and the current link members. A domain keeps its state until a current link member reports, and outlives its reporters with its addresses. Routing goes by that state; 404, 401 and 403 in addition need a report of a current link member. A former link member withdraws its reports (the addresses stay), so that they do not count again when it is chosen again; at a start of thousands, four a round do. A node that becomes a link member exchanges at once. Link has a new field at its end; older versions read such a record as "does not reach it".

The withdrawal of thousands was not measured.

--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -16,14 +16,6 @@
 	"github.com/umberthread/umberthread/member"
 )
 
-// RemoteDomain is another failure domain as reported by the link members.
-type RemoteDomain struct {
-	// Reachable is false while no link member of this domain reaches it.
-	Reachable bool
-	// ControlAddrs are the control addresses of its link members.
-	ControlAddrs []string
-}
-
 // State is a node's state of the exchanges with other failure domains. It is safe for
 // concurrent use.
 type State struct {
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -40,6 +40,8 @@
 		}
 		if ids, addrs := n.linkMembers(); slices.Contains(ids, n.id) {
 			n.exchangeWithAll(addrs)
+		} else if !n.gossip.recentlyStarted() {
+			n.withdrawLinks()
 		}
 	}
 }
@@ -156,17 +158,53 @@
 	}
 }
 
-// publishLink publishes this node's link to a domain if it has changed.
+// publishLink publishes this node's link to a domain if it has changed. A node that is no link
+// member, which another domain contacted, only passes on that domain's addresses.
 func (n *Node) publishLink(l member.Link) {
-	key := member.LinkKey(l.Domain, n.id)
+	if ids, _ := n.linkMembers(); !slices.Contains(ids, n.id) {
+		l.Reachable, l.AddressesOnly = false, true
+	}
+	n.gossip.postToCore(func() { n.gossip.publishLink(l) })
+}
+
+// publishLink publishes this node's link to a domain if it has changed. Only the gossip goroutine
+// calls it.
+func (g *gossiper) publishLink(l member.Link) {
+	key := member.LinkKey(l.Domain, g.node.id)
 	sort.Strings(l.Control)
 	payload := l.Encode()
+	old, known := g.core.Get(key)
+	if known && bytes.Equal(old.Payload, payload) {
+		return
+	}
+	g.core.Publish(gossip.Record{Key: key, Stamp: max(old.Stamp+1, uint64(time.Now().UnixMilli())), Payload: payload})
+}
+
+// withdrawalsPerRound is how many members of a domain withdraw their links in a round, on
+// average: when thousands of nodes start at once, each of them is a link member in its own view
+// for a moment, and their withdrawals must not fill the gossip.
+const withdrawalsPerRound = 4
+
+// withdrawLinks withdraws what this node reported on other domains while it was a link member:
+// it would count again when the node becomes one again, before it has contacted anybody.
+func (n *Node) withdrawLinks() {
+	v := n.view.Load()
+	if v.formerReporters == 0 || (runtimeRand{}).Float64()*float64(v.formerReporters) >= withdrawalsPerRound {
+		return
+	}
 	n.gossip.postToCore(func() {
-		old, known := n.gossip.core.Get(key)
-		if known && bytes.Equal(old.Payload, payload) {
-			return
+		for domain := range v.domains {
+			r, known := n.gossip.core.Get(member.LinkKey(domain, n.id))
+			if !known {
+				continue
+			}
+			l, err := member.DecodeLink(r.Payload)
+			if err != nil || l.AddressesOnly {
+				continue
+			}
+			l.Reachable, l.AddressesOnly = false, true
+			n.gossip.publishLink(*l)
 		}
-		n.gossip.core.Publish(gossip.Record{Key: key, Stamp: max(old.Stamp+1, uint64(time.Now().UnixMilli())), Payload: payload})
 	})
 }
 
--- a/internal/node/membership_view.go
+++ b/internal/node/membership_view.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -21,6 +22,9 @@
 	members  []memberView
 	domains  map[string]links.RemoteDomain
 	replicas []raft.Peer
+	// formerReporters is the number of members that are not link members and still report on
+	// other failure domains.
+	formerReporters int
 }
 
 // memberView is a member of this node's failure domain with its decoded metadata.
@@ -41,6 +45,10 @@
 	links     map[string]member.Link
 	domains   map[string]links.RemoteDomain
 	instances map[string]*instanceState
+	// formerReporters is as in membershipView.
+	formerReporters int
+	// isLinkMember is set while this node is a link member.
+	isLinkMember bool
 }
 
 // instanceState is what this node tracks about one incarnation of an instance's
@@ -57,7 +65,7 @@
 func newViewBuilder(n *Node) *viewBuilder {
 	return &viewBuilder{
 		node: n, members: map[string]*memberView{}, summaries: map[string]member.Summary{}, links: map[string]member.Link{},
-		domains: map[string]links.RemoteDomain{}, instances: map[string]*instanceState{},
+		domains: map[string]links.RemoteDomain{}, instances: map[string]*instanceState{}, isLinkMember: true,
 	}
 }
 
@@ -101,19 +109,26 @@
 	}
 }
 
-// refreshDomains recomputes which failure domains are reachable: those that at least
-// one known link member reaches. It logs changes.
+// refreshDomains recomputes which failure domains are reachable, and logs changes. If this node
+// becomes a link member, it exchanges with the other domains at once.
 func (b *viewBuilder) refreshDomains() {
-	next := map[string]links.RemoteDomain{}
-	for key, l := range b.links {
-		if l.By != b.node.id && b.members[l.By] == nil {
-			delete(b.links, key)
-			continue
+	alive := []string{b.node.id}
+	for id, m := range b.members {
+		if m.Status == gossip.Alive {
+			alive = append(alive, id)
 		}
-		d := next[l.Domain]
-		d.Reachable = d.Reachable || l.Reachable
-		d.ControlAddrs = append(d.ControlAddrs, l.Control...)
-		next[l.Domain] = d
+	}
+	m := links.Membership{
+		IsKnown:     func(id string) bool { return id == b.node.id || b.members[id] != nil },
+		LinkMembers: member.SelectLinkMembers(alive, linkMemberCount),
+	}
+	// Reports of unknown members are kept: the member may only be heard of later, and one that
+	// was taken for dead does not repeat its report.
+	next, formerReporters := links.UpdateDomains(b.domains, b.links, m)
+	wasLinkMember := b.isLinkMember
+	b.formerReporters, b.isLinkMember = formerReporters, slices.Contains(m.LinkMembers, b.node.id)
+	if b.isLinkMember && !wasLinkMember {
+		b.node.gossip.wakeLinks()
 	}
 	for name, d := range next {
 		old, known := b.domains[name]
@@ -130,7 +145,7 @@
 // publish builds the membership view and the routing table and makes them current.
 func (b *viewBuilder) publish() {
 	b.refreshDomains()
-	v := &membershipView{domains: b.domains}
+	v := &membershipView{domains: b.domains, formerReporters: b.formerReporters}
 	for _, m := range b.members {
 		v.members = append(v.members, *m)
 	}
--- a/internal/node/settings_doubt.go
+++ b/internal/node/settings_doubt.go
@@ -21,6 +21,9 @@
 	noContact
 	// domainCutOff means that no link member reaches another failure domain.
 	domainCutOff
+	// domainNotReported means that none of the current link members has yet said whether it
+	// reaches another failure domain.
+	domainNotReported
 	// unconfirmed means that no quorum has confirmed the settings for Options.KeyTrust. It
 	// concerns requests that need a key.
 	unconfirmed
@@ -33,7 +36,7 @@
 	heard uint64
 	// silence is the time since the last contact or confirmation.
 	silence time.Duration
-	// domain is the domain that is cut off.
+	// domain is the domain that is cut off or not reported on.
 	domain string
 }
 
@@ -50,6 +53,8 @@
 		return "no other node was heard for " + d.silence.Round(100*time.Millisecond).String()
 	case domainCutOff:
 		return "failure domain " + d.domain + " is cut off"
+	case domainNotReported:
+		return "no link member has reported on failure domain " + d.domain
 	case unconfirmed:
 		return "no quorum of replicas has confirmed them in time"
 	}
--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -126,8 +126,8 @@
 const contactTimeout = 2 * time.Second
 
 // settingsCurrent reports whether the settings of this node are the current ones as far as it
-// can know: it has some, no newer version was heard of, other nodes were heard recently, no failure domain
-// is cut off, and the process has not just been paused.
+// can know: it has some, no newer version was heard of, other nodes were heard recently, a current
+// link member reaches each other failure domain, and the process has not just been paused.
 func (n *Node) settingsCurrent(conf *config) bool { return n.settingsDoubt(conf).cause == noDoubt }
 
 // settingsDoubt returns why the settings of this node may be outdated, if they may.
@@ -147,8 +147,11 @@
 		return settingsDoubt{cause: noContact, silence: silence}
 	}
 	for name, d := range n.view.Load().domains {
-		if !d.Reachable {
+		switch {
+		case !d.Reachable:
 			return settingsDoubt{cause: domainCutOff, domain: name}
+		case !d.InContact():
+			return settingsDoubt{cause: domainNotReported, domain: name}
 		}
 	}
 	return settingsDoubt{}
--- a/member/meta.go
+++ b/member/meta.go
@@ -200,15 +200,18 @@
 	return len(s.Instances) == 0 && s.End == nil && len(s.Answered) == 0
 }
 
-// Link is the view that a link member has of another failure domain.
+// Link is the view that a member, usually a link member, has of another failure domain.
 type Link struct {
 	Domain string
-	// By is the ID of the link member.
+	// By is the ID of the member.
 	By string
 	// Reachable is false while the domain does not respond to the member.
 	Reachable bool
 	// Control lists the control addresses of the domain's link members.
 	Control []string
+	// AddressesOnly is set if By is no link member. It then does not hear of the domain
+	// regularly, and Reachable is not set.
+	AddressesOnly bool
 }
 
 const (
