node: no 413 by settings that may be outdated

Cause: body_max and replay_max are settings, and a body beyond them was refused with 413 also while the node may lack newer ones that allow it; so it was at the node beside the backend server, which judges by settings of its own. Callers do not send such a request again.

Change: all refusals of a body that is too large ask whether the settings are current, and answer 503 otherwise; a call holds the settings by which it is judged, so that a change meanwhile counts. On both interfaces, as they share it.

--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -39,7 +39,9 @@
 	// fromRetry is set if the call descends from an attempt that was itself a retry.
 	fromRetry bool
 	// parent is the execution that made this nested call, nil at the entry.
-	parent      *execution
+	parent *execution
+	// conf are the settings by which the request is judged, and policy what they say of it.
+	conf        *config
 	policy      *settings.Policy
 	retryBudget *budget.Pool
 	scope       *scope.Scope
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -470,14 +470,15 @@
 		return nil, fault.New(fault.BadRequest, "malformed target")
 	}
 	c.service = serviceOfTarget(c.target)
-	c.policy = n.conf.Load().tree.Policy(c.target)
+	c.conf = n.conf.Load()
+	c.policy = c.conf.tree.Policy(c.target)
 	if c.bodyLen > int64(c.policy.BodyMax) {
-		return nil, fault.New(fault.TooLarge, "the body is larger than this request kind allows")
+		return nil, n.unlessOutdated(c.conf, fault.New(fault.TooLarge, "the body is larger than this request kind allows"))
 	}
 	if c.bodyLen >= 0 && c.bodyLen <= int64(c.policy.ReplayMax) {
 		c.body = make([]byte, c.bodyLen)
 		if _, err := io.ReadFull(x.Body, c.body); err != nil {
-			return nil, bodyReadError(err)
+			return nil, n.bodyReadError(c, err)
 		}
 		x.MarkBodyRead()
 	} else {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -94,10 +94,10 @@
 		rest += "?" + r.URL.RawQuery
 	}
 	c := &call{target: target, service: serviceOfTarget(target), method: r.Method, path: rest, started: time.Now()}
-	conf := n.conf.Load()
-	c.policy, ok = conf.tree.KindPolicy(target)
+	c.conf = n.conf.Load()
+	c.policy, ok = c.conf.tree.KindPolicy(target)
 	if !ok {
-		return nil, n.unlessOutdated(conf, unknownTarget(conf, c))
+		return nil, n.unlessOutdated(c.conf, unknownTarget(c.conf, c))
 	}
 	c.header = endToEndFields(r.Header)
 	if token := r.Header.Get(HeaderCallToken); token != "" {
@@ -136,7 +136,7 @@
 		}
 		allowed = min(allowed, d)
 	}
-	w, ferr := n.identifyWorkspace(n.conf.Load(), c, &CallerRequest{Key: directKey(r.Header)})
+	w, ferr := n.identifyWorkspace(c.conf, c, &CallerRequest{Key: directKey(r.Header)})
 	if ferr != nil {
 		return ferr
 	}
@@ -183,7 +183,7 @@
 func (n *Node) readBody(c *call, w http.ResponseWriter, r *http.Request) *fault.Error {
 	c.bodyLen = r.ContentLength
 	if c.bodyLen > int64(c.policy.BodyMax) {
-		return fault.Newf(fault.TooLarge, "the body has %d bytes; allowed are %d", c.bodyLen, c.policy.BodyMax)
+		return n.unlessOutdated(c.conf, fault.Newf(fault.TooLarge, "the body has %d bytes; allowed are %d", c.bodyLen, c.policy.BodyMax))
 	}
 	if c.bodyLen == 0 {
 		return nil
@@ -195,14 +195,14 @@
 	defer func() { _ = control.SetReadDeadline(c.scope.Deadline().Add(responseWriteGrace)) }()
 	body := http.MaxBytesReader(w, r.Body, int64(c.policy.BodyMax))
 	if c.bodyLen < 0 {
-		return c.readBodyOfUnknownLength(body)
+		return n.readBodyOfUnknownLength(c, body)
 	}
 	if c.bodyLen > int64(c.policy.ReplayMax) {
-		return c.streamBody(body)
+		return n.streamBody(c, body)
 	}
 	c.body = make([]byte, c.bodyLen)
 	if _, err := io.ReadFull(body, c.body); err != nil {
-		return bodyReadError(err)
+		return n.bodyReadError(c, err)
 	}
 	return nil
 }
@@ -212,12 +212,12 @@
 const bodyPrefixBytes = 1 << 10
 
 // streamBody sets up streaming of a large body and keeps its prefix.
-func (c *call) streamBody(body io.Reader) *fault.Error {
+func (n *Node) streamBody(c *call, body io.Reader) *fault.Error {
 	// Reads larger than the buffer bypass the bufio.Reader.
 	r := bufio.NewReaderSize(body, bodyPrefixBytes)
 	start, err := r.Peek(bodyPrefixBytes)
 	if err != nil && !errors.Is(err, io.EOF) {
-		return bodyReadError(err)
+		return n.bodyReadError(c, err)
 	}
 	c.bodyPrefix, c.stream = bytes.Clone(start), r
 	return nil
@@ -225,7 +225,7 @@
 
 // readBodyOfUnknownLength buffers a body without a Content-Length if it is small, and else
 // streams it.
-func (c *call) readBodyOfUnknownLength(body io.Reader) *fault.Error {
+func (n *Node) readBodyOfUnknownLength(c *call, body io.Reader) *fault.Error {
 	var buf bytes.Buffer
 	_, err := io.CopyN(&buf, body, int64(c.policy.ReplayMax)+1)
 	switch {
@@ -235,16 +235,16 @@
 	case errors.Is(err, io.EOF):
 		c.body, c.bodyLen = buf.Bytes(), int64(buf.Len())
 	default:
-		return bodyReadError(err)
+		return n.bodyReadError(c, err)
 	}
 	return nil
 }
 
 // bodyReadError maps an error of reading a request body to a fault.
-func bodyReadError(err error) *fault.Error {
+func (n *Node) bodyReadError(c *call, err error) *fault.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return fault.Wrap(fault.TooLarge, err, "the body is too large")
+		return n.unlessOutdated(c.conf, fault.Wrap(fault.TooLarge, err, "the body is too large"))
 	}
 	return fault.Wrap(fault.BadRequest, err, "cannot read the request body")
 }
--- a/internal/node/http_adapter.go
+++ b/internal/node/http_adapter.go
@@ -84,6 +84,7 @@
 		return c, ferr
 	}
 	conf := n.conf.Load()
+	c.conf = conf
 	if !conf.tree.HasRoutes() {
 		return c, c.refusal(fault.Starting, "this node has no settings yet", 0)
 	}
--- a/internal/node/idempotency.go
+++ b/internal/node/idempotency.go
@@ -35,7 +35,7 @@
 		return
 	}
 	if c.stream != nil {
-		n.refuse(w, c, fault.Newf(fault.TooLarge, "the body of a request with an idempotency key is limited to %d bytes", c.policy.ReplayMax))
+		n.refuse(w, c, n.unlessOutdated(c.conf, fault.Newf(fault.TooLarge, "the body of a request with an idempotency key is limited to %d bytes", c.policy.ReplayMax)))
 		return
 	}
 	o := &keyedAttempt{node: n, call: c, key: key, token: n.newToken()}
