node: no refusal for a missing idempotency key by settings that may be outdated

Cause: key_required is a setting; a node that may lack the one that takes it away answered 400, after which callers do not come back.

Change: as for 404, 401 and 413.

Evidence: TestKeyIsNotRequiredByOutdatedSettings, red before (key-required for starting), green.

Looked at and left: 409 for a key that is older than key_retention (judged by the replicas by what the entry sends), and 429 beyond a limit, which names a time to come back. No other refusal of callers on either interface rests on settings alone; 403 is never said, and 405 only of the fixed routes of the operators.

--- a/internal/node/idempotency.go
+++ b/internal/node/idempotency.go
@@ -31,7 +31,7 @@
 func (n *Node) serveKeyed(w http.ResponseWriter, r *http.Request, c *call) {
 	key := r.Header.Get(HeaderIdempotencyKey)
 	if key == "" {
-		n.refuse(w, c, fault.New(fault.KeyRequired, "this request kind needs an Idempotency-Key, a UUID of version 7"))
+		n.refuse(w, c, n.unlessOutdated(c.conf, fault.New(fault.KeyRequired, "this request kind needs an Idempotency-Key, a UUID of version 7")))
 		return
 	}
 	if c.stream != nil {
--- a/internal/node/outdated_settings_test.go
+++ b/internal/node/outdated_settings_test.go
@@ -69,3 +69,14 @@
 	r := entry.call("f/s/k", "", make([]byte, 11), nil)
 	g.Expect(r.status).To(gomega.BeElementOf(http.StatusOK, http.StatusServiceUnavailable), r.body)
 }
+
+// Nor must it say that a request needs an idempotency key.
+func TestKeyIsNotRequiredByOutdatedSettings(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "a", nil, nil)
+	useSettings(t, "[fleet.f.service.s.kind.k]\nkey_required = true\n", n)
+	reason := func() string { return n.call("f/s/k", "", nil, nil).problem().Reason }
+	g.Expect(reason()).To(gomega.Equal(fault.KeyRequired.String()))
+	n.gossip.raiseHighestVersion(n.conf.Load().version + 1)
+	g.Expect(reason()).To(gomega.Equal(fault.Starting.String()))
+}
