node: settings are in doubt before the first contact, and on the first node too

"No contact" was counted from the start of the process, so that a node with settings from its disk took them for current in the first two seconds after a restart, without having heard of anybody. And a node configured without others, as the first one of a fleet is, never asked whether it is in touch, nor whether a domain is cut off.

Change: never heard is no contact; a node is alone only if its replica groups have no voter at another address, either.

Evidence: TestSettingsAreNotCurrentBeforeTheFirstContact and TestFirstNodeNoticesThatItIsCutOff, both red before, green.

Left: a first node without a replica group, without configured others, still is alone whoever it has met.

--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -76,7 +76,8 @@
 	joined atomic.Bool
 	// highestVersion is the highest version of the settings known to exist.
 	highestVersion atomic.Uint64
-	// contactAt is when a message of another node last arrived, on the node's clock.
+	// contactAt is when a message of another node last arrived, on the node's clock, 0 for
+	// never.
 	contactAt atomic.Int64
 	// mu guards syncScheduler, which selects the nodes to sync records with.
 	mu            sync.Mutex
@@ -220,7 +221,8 @@
 	return ""
 }
 
-// lastContact returns when a message of another node last arrived, on the node's clock.
+// lastContact returns when a message of another node last arrived, on the node's clock, 0 for
+// never.
 func (g *gossiper) lastContact() time.Duration { return time.Duration(g.contactAt.Load()) }
 
 // raiseHighestVersion records a version of the settings if it is the highest known.
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -375,6 +375,17 @@
 	return slices.Compact(out)
 }
 
+// hasOtherVoters reports whether a group has a voter at another address than this node's.
+func (r *replicas) hasOtherVoters() bool {
+	for _, g := range r.groups {
+		conf := g.conf.Load()
+		if conf != nil && slices.ContainsFunc(conf.Voters, func(p raft.Peer) bool { return p.Addr != r.node.opt.AdvertiseControl }) {
+			return true
+		}
+	}
+	return false
+}
+
 // leadsAny reports whether this node leads a group.
 func (r *replicas) leadsAny() bool {
 	for _, g := range r.groups {
--- a/internal/node/settings_doubt_test.go
+++ b/internal/node/settings_doubt_test.go
@@ -127,3 +127,32 @@
 	}, 10*time.Second).Should(gomega.Succeed())
 	g.Expect(n.Status().ConfigConfirmedMs).To(gomega.BeNumerically(">=", 0))
 }
+
+// A node with settings from its disk must not say that something does not exist before it has
+// heard of anybody since its start.
+func TestSettingsAreNotCurrentBeforeTheFirstContact(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "a", []string{freeAddr(t)}, startWithoutWait)
+	useSettings(t, "[fleet.f.service.s]\n", n)
+	g.Expect(n.clock()).To(gomega.BeNumerically("<", contactTimeout))
+	g.Expect(n.settingsDoubt(n.conf.Load()).cause).To(gomega.Equal(noContact))
+	n.gossip.observeVersion(viaPacket, "", 1)
+	g.Expect(n.settingsCurrent(n.conf.Load())).To(gomega.BeTrue())
+}
+
+// The first node of a fleet is configured without others. Once its group has other replicas, it
+// must notice that it is cut off from them.
+func TestFirstNodeNoticesThatItIsCutOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := startReplicas(t, "a", "b", "c")
+	first := nodes[0]
+	g.Expect(first.bootstrap()).To(gomega.BeEmpty())
+	_, r := first.proposeChange("", 0, settings.Entries{"#deadline": "2s"})
+	g.Expect(r.Reason).To(gomega.Equal("none"))
+	current := func() bool { return first.settingsCurrent(first.conf.Load()) }
+	g.Eventually(current, "10s").Should(gomega.BeTrue())
+	nw := newNetwork(nodes...)
+	nw.setCutBothWays(first, nodes[1], true)
+	nw.setCutBothWays(first, nodes[2], true)
+	g.Eventually(current, "10s").Should(gomega.BeFalse())
+}
--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -140,10 +140,11 @@
 		return settingsDoubt{cause: newerVersionHeard, heard: heard}
 	case n.pauses.recent(now):
 		return settingsDoubt{cause: recentlyPaused}
-	case len(n.bootstrap()) == 0:
+	case len(n.bootstrap()) == 0 && !n.replicas.hasOtherVoters():
 		return settingsDoubt{}
 	}
-	if silence := now - n.gossip.lastContact(); silence > contactTimeout {
+	contact := n.gossip.lastContact()
+	if silence := now - contact; contact == 0 || silence > contactTimeout {
 		return settingsDoubt{cause: noContact, silence: silence}
 	}
 	for name, d := range n.view.Load().domains {
