node: a failure domain that is gone leaves no doubt while a quorum confirms

Cause: a domain that is removed for good stays cut off for as long as a process runs that knew it, and with it the doubt: every 404, 401 and 403 of the rest of the fleet became 503, without an end.

Change: settings that a quorum confirmed within two seconds, the time that a change may take, are current whatever is cut off. With key_trust each domain has them confirmed all the time. Without key_trust nothing changes: the doubt lasts.

Evidence: TestConfirmedSettingsAreCurrentWithoutACutOffDomain, red before (two of three domains in doubt for the third), green; the domain that is cut off from the quorum stays in doubt in the same test.

--- a/internal/node/settings_doubt_test.go
+++ b/internal/node/settings_doubt_test.go
@@ -156,3 +156,25 @@
 	nw.setCutBothWays(first, nodes[2], true)
 	g.Eventually(current, "10s").Should(gomega.BeFalse())
 }
+
+// A failure domain that is removed for good must not leave the others in doubt while a quorum
+// confirms their settings, and one that is cut off from the quorum must stay in doubt.
+func TestConfirmedSettingsAreCurrentWithoutACutOffDomain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := startReplicasWith(t, func(_ int, o *Options) { o.KeyTrust = Duration{time.Minute} }, "a", "b", "c")
+	_, r := nodes[0].proposeChange("", 0, settings.Entries{"#deadline": "2s"})
+	g.Expect(r.Reason).To(gomega.Equal("none"))
+	for _, n := range nodes {
+		n.awaitConfigVersion(1)
+	}
+	nw := newNetwork(nodes...)
+	cut := nodes[2]
+	nw.setCutBothWays(cut, nodes[0], true)
+	nw.setCutBothWays(cut, nodes[1], true)
+	for _, n := range nodes[:2] {
+		g.Eventually(func() bool { return n.view.Load().domains["c"].Reachable }, "10s").Should(gomega.BeFalse())
+		g.Eventually(func() settingsDoubt { return n.settingsDoubt(n.conf.Load()) }, "5s").Should(gomega.Equal(settingsDoubt{}))
+	}
+	g.Eventually(func() bool { return cut.settingsCurrent(cut.conf.Load()) }, "10s").Should(gomega.BeFalse())
+	g.Consistently(func() bool { return cut.settingsCurrent(cut.conf.Load()) }, "1s").Should(gomega.BeFalse())
+}
--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -121,13 +121,15 @@
 	return refusal
 }
 
-// contactTimeout is how long a node may hear of no other one until it takes its settings for
-// possibly outdated. It is several times the interval of gossip probes.
+// contactTimeout is how long a node may hear of no other one, and how long a confirmation by a
+// quorum holds, until it takes its settings for possibly outdated. It is several times the
+// interval of gossip probes.
 const contactTimeout = 2 * time.Second
 
 // settingsCurrent reports whether the settings of this node are the current ones as far as it
-// can know: it has some, no newer version was heard of, other nodes were heard recently, a current
-// link member reaches each other failure domain, and the process has not just been paused.
+// can know: it has some, no newer version was heard of, the process has not just been paused, and
+// either a quorum confirmed them recently, or other nodes were heard recently and a current link
+// member reaches each other failure domain.
 func (n *Node) settingsCurrent(conf *config) bool { return n.settingsDoubt(conf).cause == noDoubt }
 
 // settingsDoubt returns why the settings of this node may be outdated, if they may.
@@ -143,6 +145,9 @@
 	case len(n.bootstrap()) == 0 && !n.replicas.hasOtherVoters():
 		return settingsDoubt{}
 	}
+	if age, ok := n.confirmationAge(); ok && age <= contactTimeout {
+		return settingsDoubt{}
+	}
 	contact := n.gossip.lastContact()
 	if silence := now - contact; contact == 0 || silence > contactTimeout {
 		return settingsDoubt{cause: noContact, silence: silence}
