node: a node that meets another failure domain tells its link members

Cause: only link members exchange with other domains, and an address that another node met stayed with it. If it was no link member, the domains never met.

Change: such a node hands an address in a domain of which its own knows none to a current link member, by a call, instead of publishing a record of its own. The chance to do so in a round begins at four of all members and doubles until it is one (links.HandoverChance); afterwards it falls back, as the address leads nowhere then. A later address replaces one that leads nowhere.

Not measured with thousands of real nodes, each of which knows few members at first.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -83,7 +83,7 @@
 	// Known is the number of failure domains that the sender knows.
 	Known int
 	// Domains holds control addresses by failure domain, sent only to a node
-	// that knows fewer domains.
+	// that knows fewer domains, and from a node of the same domain to a link member.
 	Domains map[string]string
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -136,13 +136,15 @@
 }
 
 // Exchange merges the summaries of another failure domain and returns those of this
-// one.
+// one. From a node of this domain it takes addresses in others.
 func (a *controlAPI) Exchange(req *control.ExchangeRequest, reply *control.ExchangeReply) error {
 	n := a.node
 	l := n.control.links
 	_, addrs := n.linkMembers()
 	*reply = control.ExchangeReply{Domain: n.opt.Domain, Control: addrs, Config: n.conf.Load().version, ID: n.id}
 	if req.Domain == n.opt.Domain {
+		// A node that is no link member hands over addresses that it has met.
+		n.adoptAddrs(req.Domains)
 		return nil
 	}
 	if req.HaveOf == n.id {
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
 
 	"github.com/umberthread/umberthread/gossip"
 	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/internal/links"
 	"github.com/umberthread/umberthread/member"
 )
 
@@ -27,6 +29,8 @@
 // linkLoop exchanges with the other failure domains. Every node runs it, but only
 // the current link members of the domain exchange anything.
 func (n *Node) linkLoop() {
+	// handoverRounds counts the rounds in which this node had an address to hand over.
+	handoverRounds := 0
 	for {
 		period := linkInterval
 		if n.gossip.recentlyStarted() {
@@ -38,14 +42,47 @@
 		case <-n.gossip.linkWake:
 		case <-time.After(period):
 		}
-		if ids, addrs := n.linkMembers(); slices.Contains(ids, n.id) {
+		ids, addrs := n.linkMembers()
+		if slices.Contains(ids, n.id) {
+			handoverRounds = 0
 			n.exchangeWithAll(addrs)
-		} else if !n.gossip.recentlyStarted() {
+			continue
+		}
+		if n.handOverAddrs(addrs, handoverRounds) {
+			handoverRounds++
+		} else {
+			handoverRounds = 0
+		}
+		if !n.gossip.recentlyStarted() {
 			n.withdrawLinks()
 		}
 	}
 }
 
+// handOverAddrs tells a link member, one of addrs, what this node has met in domains of which its
+// own one knows no address, with links.HandoverChance. It reports whether there are any.
+func (n *Node) handOverAddrs(addrs []string, previousRounds int) bool {
+	v, l := n.view.Load(), n.control.links
+	met := l.Unlocated(v.domains)
+	if len(met) == 0 {
+		return false
+	}
+	if (runtimeRand{}).Float64() >= links.HandoverChance(previousRounds, len(v.members)+1) || !l.BeginExchange(n.opt.Domain) {
+		return true
+	}
+	req := &control.ExchangeRequest{Domain: n.opt.Domain, Addr: n.opt.AdvertiseControl, ID: n.id, Domains: met}
+	addr := addrs[rand.IntN(len(addrs))]
+	go func() {
+		defer func() {
+			for l.EndExchange(n.opt.Domain) {
+			}
+		}()
+		// After a failure, the next round asks again.
+		_ = n.control.pool.Call(addr, "Exchange", req, &control.ExchangeReply{}, linkTimeout)
+	}()
+	return true
+}
+
 // linkMembers returns the IDs and control addresses of the members that exchange
 // with other failure domains, according to this node's view.
 func (n *Node) linkMembers() (ids, addrs []string) {
@@ -100,6 +137,17 @@
 	return len(all), tell
 }
 
+// adoptAddrs records addresses in other failure domains that a node of this domain has met.
+func (n *Node) adoptAddrs(met map[string]string) {
+	v := n.view.Load()
+	for domain, addr := range met {
+		if domain != n.opt.Domain && !v.domains[domain].InContact() {
+			n.control.links.RecordContact(domain, addr)
+		}
+	}
+	n.gossip.wakeLinks()
+}
+
 // learnDomains records the failure domains that another node knows.
 func (n *Node) learnDomains(domains map[string]string) {
 	for domain, addr := range domains {
