node: the test of domains that meet by one node chooses that node

TestDomainsMeetThroughANodeThatIsNoLinkMember added nodes until its contact was no link member; IDs are random, so that the contact still is one beside N others with probability 3/N, and one of 6 runs had 154 nodes in one process and gave up before its check (10 s for all to know all, beside load 25). Now three others run first, and the contact is created until its ID is not chosen beside them; the node knows all three before the other domain starts. The checks are the same, on all four nodes and the one of the other domain.

--- a/internal/node/domain_discovery_test.go
+++ b/internal/node/domain_discovery_test.go
@@ -4,27 +4,57 @@
 	"slices"
 	"testing"
 
+	"github.com/go-kit/log"
 	"github.com/onsi/gomega"
 
 	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/member"
 )
 
+// startNoLinkMember starts a node of domain "a" that is no link member beside others.
+func startNoLinkMember(t *testing.T, control, bootstrap string, others []*testNode) *testNode {
+	t.Helper()
+	ids := []string{}
+	for _, n := range others {
+		ids = append(ids, n.id)
+	}
+	for {
+		o := DefaultOptions()
+		o.Name, o.Domain, o.Bootstrap = "contact", "a", []string{bootstrap}
+		o.HTTP, o.Data, o.Control, o.Admin = freeAddr(t), freeAddr(t), control, freeAddr(t)
+		startWithoutWait(&o)
+		n, err := New(o, log.NewNopLogger())
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Each has a random ID, by which link members are chosen.
+		if slices.Contains(member.SelectLinkMembers(append(ids, n.id), linkMemberCount), n.id) {
+			continue
+		}
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Close)
+		return &testNode{n, t}
+	}
+}
+
 // Two failure domains must find each other also if the only node with an address of the other one
 // is not a link member.
 func TestDomainsMeetThroughANodeThatIsNoLinkMember(t *testing.T) {
 	g := gomega.NewWithT(t)
-	remoteAddr := freeAddr(t)
-	contact := startNode(t, "a", []string{remoteAddr}, startWithoutWait)
-	nodes := []*testNode{contact}
-	isLinkMember := func() bool {
-		ids, _ := contact.linkMembers()
-		return slices.Contains(ids, contact.id)
+	contactAddr, remoteAddr := freeAddr(t), freeAddr(t)
+	nodes := []*testNode{}
+	for range linkMemberCount {
+		nodes = append(nodes, startNode(t, "a", []string{contactAddr}, startWithoutWait))
 	}
-	for isLinkMember() {
-		n := startNode(t, "a", []string{contact.opt.Control}, nil)
-		nodes = append(nodes, n)
-		g.Eventually(func() int { return len(contact.view.Load().members) }, "10s").Should(gomega.Equal(len(nodes) - 1))
+	nodes = append(nodes, startNoLinkMember(t, contactAddr, remoteAddr, nodes))
+	contact := nodes[len(nodes)-1]
+	for _, n := range nodes {
+		g.Eventually(func() int { return len(n.view.Load().members) }, "10s").Should(gomega.Equal(len(nodes) - 1))
 	}
+	ids, _ := contact.linkMembers()
+	g.Expect(ids).NotTo(gomega.ContainElement(contact.id))
 	remote := startNode(t, "b", nil, func(o *Options) { o.Control = remoteAddr })
 	for _, n := range nodes {
 		g.Eventually(func() bool { return n.view.Load().domains["b"].Reachable }, "10s").Should(gomega.BeTrue())
