--- a/internal/node/idempotency.go
+++ b/internal/node/idempotency.go
@@ -31,11 +31,11 @@
 func (n *Node) serveKeyed(w http.ResponseWriter, r *http.Request, c *call) {
 	key := r.Header.Get(HeaderIdempotencyKey)
 	if key == "" {
-		n.refuse(w, c, fault.New(fault.KeyRequired, "this request kind needs an Idempotency-Key, a UUID of version 7"))
+		n.refuse(w, c, n.unlessOutdated(c.conf, fault.New(fault.KeyRequired, "this request kind needs an Idempotency-Key, a UUID of version 7")))
 		return
 	}
 	if c.stream != nil {
-		n.refuse(w, c, fault.Newf(fault.TooLarge, "the body of a request with an idempotency key is limited to %d bytes", c.policy.ReplayMax))
+		n.refuse(w, c, n.unlessOutdated(c.conf, fault.Newf(fault.TooLarge, "the body of a request with an idempotency key is limited to %d bytes", c.policy.ReplayMax)))
 		return
 	}
 	o := &keyedAttempt{node: n, call: c, key: key, token: n.newToken()}
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
 
 	"github.com/umberthread/umberthread/gossip"
 	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/internal/links"
 	"github.com/umberthread/umberthread/member"
 )
 
@@ -27,6 +29,8 @@
 // linkLoop exchanges with the other failure domains. Every node runs it, but only
 // the current link members of the domain exchange anything.
 func (n *Node) linkLoop() {
+	// handoverRounds counts the rounds in which this node had an address to hand over.
+	handoverRounds := 0
 	for {
 		period := linkInterval
 		if n.gossip.recentlyStarted() {
@@ -38,10 +42,45 @@
 		case <-n.gossip.linkWake:
 		case <-time.After(period):
 		}
-		if ids, addrs := n.linkMembers(); slices.Contains(ids, n.id) {
+		ids, addrs := n.linkMembers()
+		if slices.Contains(ids, n.id) {
+			handoverRounds = 0
 			n.exchangeWithAll(addrs)
+			continue
+		}
+		if n.handOverAddrs(addrs, handoverRounds) {
+			handoverRounds++
+		} else {
+			handoverRounds = 0
 		}
+		if !n.gossip.recentlyStarted() {
+			n.withdrawLinks()
+		}
+	}
+}
+
+// handOverAddrs tells a link member, one of addrs, what this node has met in domains of which its
+// own one knows no address, with links.HandoverChance. It reports whether there are any.
+func (n *Node) handOverAddrs(addrs []string, previousRounds int) bool {
+	v, l := n.view.Load(), n.control.links
+	met := l.Unlocated(v.domains)
+	if len(met) == 0 {
+		return false
+	}
+	if (runtimeRand{}).Float64() >= links.HandoverChance(previousRounds, len(v.members)+1) || !l.BeginExchange(n.opt.Domain) {
+		return true
 	}
+	req := &control.ExchangeRequest{Domain: n.opt.Domain, Addr: n.opt.AdvertiseControl, ID: n.id, Domains: met}
+	addr := addrs[rand.IntN(len(addrs))]
+	go func() {
+		defer func() {
+			for l.EndExchange(n.opt.Domain) {
+			}
+		}()
+		// After a failure, the next round asks again.
+		_ = n.control.pool.Call(addr, "Exchange", req, &control.ExchangeReply{}, linkTimeout)
+	}()
+	return true
 }
 
 // linkMembers returns the IDs and control addresses of the members that exchange
@@ -98,6 +137,17 @@
 	return len(all), tell
 }
 
+// adoptAddrs records addresses in other failure domains that a node of this domain has met.
+func (n *Node) adoptAddrs(met map[string]string) {
+	v := n.view.Load()
+	for domain, addr := range met {
+		if domain != n.opt.Domain && !v.domains[domain].InContact() {
+			n.control.links.RecordContact(domain, addr)
+		}
+	}
+	n.gossip.wakeLinks()
+}
+
 // learnDomains records the failure domains that another node knows.
 func (n *Node) learnDomains(domains map[string]string) {
 	for domain, addr := range domains {
@@ -156,17 +206,53 @@
 	}
 }
 
-// publishLink publishes this node's link to a domain if it has changed.
+// publishLink publishes this node's link to a domain if it has changed. A node that is no link
+// member, which another domain contacted, only passes on that domain's addresses.
 func (n *Node) publishLink(l member.Link) {
-	key := member.LinkKey(l.Domain, n.id)
+	if ids, _ := n.linkMembers(); !slices.Contains(ids, n.id) {
+		l.Reachable, l.AddressesOnly = false, true
+	}
+	n.gossip.postToCore(func() { n.gossip.publishLink(l) })
+}
+
+// publishLink publishes this node's link to a domain if it has changed. Only the gossip goroutine
+// calls it.
+func (g *gossiper) publishLink(l member.Link) {
+	key := member.LinkKey(l.Domain, g.node.id)
 	sort.Strings(l.Control)
 	payload := l.Encode()
+	old, known := g.core.Get(key)
+	if known && bytes.Equal(old.Payload, payload) {
+		return
+	}
+	g.core.Publish(gossip.Record{Key: key, Stamp: max(old.Stamp+1, uint64(time.Now().UnixMilli())), Payload: payload})
+}
+
+// withdrawalsPerRound is how many members of a domain withdraw their links in a round, on
+// average: when thousands of nodes start at once, each of them is a link member in its own view
+// for a moment, and their withdrawals must not fill the gossip.
+const withdrawalsPerRound = 4
+
+// withdrawLinks withdraws what this node reported on other domains while it was a link member:
+// it would count again when the node becomes one again, before it has contacted anybody.
+func (n *Node) withdrawLinks() {
+	v := n.view.Load()
+	if v.formerReporters == 0 || (runtimeRand{}).Float64()*float64(v.formerReporters) >= withdrawalsPerRound {
+		return
+	}
 	n.gossip.postToCore(func() {
-		old, known := n.gossip.core.Get(key)
-		if known && bytes.Equal(old.Payload, payload) {
-			return
+		for domain := range v.domains {
+			r, known := n.gossip.core.Get(member.LinkKey(domain, n.id))
+			if !known {
+				continue
+			}
+			l, err := member.DecodeLink(r.Payload)
+			if err != nil || l.AddressesOnly {
+				continue
+			}
+			l.Reachable, l.AddressesOnly = false, true
+			n.gossip.publishLink(*l)
 		}
-		n.gossip.core.Publish(gossip.Record{Key: key, Stamp: max(old.Stamp+1, uint64(time.Now().UnixMilli())), Payload: payload})
 	})
 }
 
--- a/member/meta.go
+++ b/member/meta.go
@@ -3,10 +3,10 @@
 package member
 
 import (
+	"cmp"
 	"hash/fnv"
 	"net"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 
@@ -200,15 +200,18 @@
 	return len(s.Instances) == 0 && s.End == nil && len(s.Answered) == 0
 }
 
-// Link is the view that a link member has of another failure domain.
+// Link is the view that a member, usually a link member, has of another failure domain.
 type Link struct {
 	Domain string
-	// By is the ID of the link member.
+	// By is the ID of the member.
 	By string
 	// Reachable is false while the domain does not respond to the member.
 	Reachable bool
 	// Control lists the control addresses of the domain's link members.
 	Control []string
+	// AddressesOnly is set if By is no link member. It then does not hear of the domain
+	// regularly, and Reachable is not set.
+	AddressesOnly bool
 }
 
 const (
@@ -233,15 +236,29 @@
 // rendezvous hashing (Thaler and Ravishankar, 1998). Each member selects from its own view;
 // where views differ, a domain temporarily has an additional link, which is harmless.
 func SelectLinkMembers(ids []string, n int) []string {
-	out := append([]string(nil), ids...)
-	sort.Slice(out, func(i, j int) bool {
-		a, b := hashID(out[i]), hashID(out[j])
-		if a != b {
-			return a > b
+	type candidate struct {
+		id   string
+		hash uint64
+	}
+	order := func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.id, b.id))
+	}
+	// first are the first candidates so far, in order. n is small.
+	first := make([]candidate, 0, n+1)
+	for _, id := range ids {
+		c := candidate{id, hashID(id)}
+		if len(first) == n && (n == 0 || order(c, first[n-1]) >= 0) {
+			continue
 		}
-		return out[i] < out[j]
-	})
-	return out[:min(n, len(out))]
+		at, _ := slices.BinarySearchFunc(first, c, order)
+		first = slices.Insert(first, at, c)
+		first = first[:min(n, len(first))]
+	}
+	out := make([]string, len(first))
+	for i, c := range first {
+		out[i] = c.id
+	}
+	return out
 }
 
 // hashID returns the rendezvous hash of an ID.
