Raft messages reach members that moved while there was no leader

Cause: raft messages went to the address of a member in the membership only, and only a leader changes that address. If the replicas of a group lose their power together, one of them returns at another address and another one is lost, neither of the two sound ones hears the other, and no leader can be elected to record the new address: for good. docs/operators/all-replicas-lost.md says that such a return works.

Change: messages also go to the addresses that gossip and the identity checks know for the identity, if those differ.

--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -552,25 +552,25 @@
 	}
 	conf := g.core.Conf()
 	for _, m := range ms {
-		addr := r.memberAddr(conf, m.To)
-		if addr == "" {
-			addr = r.candidateAddr(m.To)
-		}
-		if addr != "" {
+		for _, addr := range r.addrsOf(conf, m.To) {
 			r.sendQueue(addr).Offer(outgoingMessage{g.id, m})
 		}
 	}
 }
 
-// candidateAddr returns the address of a replica that is not a known member, or "".
-// A learner has to respond to its leader before it has received the membership.
-func (r *replicas) candidateAddr(id string) string {
-	for _, p := range append(r.verifiedReplicas(), r.node.view.Load().replicas...) {
-		if p.ID == id {
-			return p.Addr
+// addrsOf returns the addresses at which a replica may be: those in the membership and those
+// known from elsewhere. A member that has moved is needed to elect the leader that records its
+// new address, and a learner has to respond to its leader before it has received the membership.
+func (r *replicas) addrsOf(conf raft.Conf, id string) []string {
+	var addrs []string
+	for _, ps := range [...][]raft.Peer{conf.Voters, conf.Learners, r.verifiedReplicas(), r.node.view.Load().replicas} {
+		for _, p := range ps {
+			if p.ID == id && !slices.Contains(addrs, p.Addr) {
+				addrs = append(addrs, p.Addr)
+			}
 		}
 	}
-	return ""
+	return addrs
 }
 
 // sendQueue returns the queue of an address, and starts its sender if it is new.
--- a/internal/node/replica_restart_test.go
+++ b/internal/node/replica_restart_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,45 @@
 		g.Eventually(func() int { return len(r.view.Load().replicas) }, "10s", "10ms").Should(gomega.Equal(len(replicas)), r.opt.Name)
 	}
 }
+
+// restartElsewhere starts a stopped node again with its data folder, at other addresses.
+func (n *testNode) restartElsewhere() *testNode {
+	n.t.Helper()
+	o := &n.opt
+	o.HTTP, o.Data, o.Control, o.Admin = freeAddr(n.t), freeAddr(n.t), freeAddr(n.t), freeAddr(n.t)
+	o.AdvertiseData, o.AdvertiseControl = "", ""
+	return n.restart()
+}
+
+// TestMovedReplicasElectLeader guards against a group that stays without a leader if replicas
+// return at other addresses while none leads: only a leader records where they are.
+func TestMovedReplicasElectLeader(t *testing.T) {
+	for _, moved := range [][]bool{{false, true}, {true, false}, {true, true}} {
+		t.Run(fmt.Sprint(moved), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			replicas := startReplicas(t, "a", "b", "c")
+			for _, r := range replicas {
+				r.Close()
+			}
+			// The third one is lost.
+			replicas = replicas[:len(moved)]
+			for i, r := range replicas {
+				r.opt.StartWait = Duration{time.Second}
+				if i > 0 {
+					r.opt.Bootstrap = []string{replicas[0].opt.Control}
+				}
+				if moved[i] {
+					replicas[i] = r.restartElsewhere()
+				} else {
+					replicas[i] = r.restart()
+				}
+			}
+			for _, r := range replicas {
+				g.Eventually(func() string {
+					_, r := r.proposeChange("after-move", 0, settings.Entries{"#deadline": "3s"})
+					return r.Reason
+				}, 10*time.Second, 10*time.Millisecond).Should(gomega.Equal("none"), r.opt.Name)
+			}
+		})
+	}
+}
