A formed group accepts changes while a lost voter is replaced

Cause: Options.MinVoters keeps a group that is being formed from accepting changes on too few disks. It also held for a group that was formed long ago and has one voter fewer while a lost one is replaced.

--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -58,6 +58,9 @@
 	// corresponding state in the replica chart.
 	role       raft.Role
 	chartState chart.State
+	// accepted is set once a command or a snapshot of commands has been applied: the group has
+	// had Options.MinVoters then.
+	accepted bool
 	// failed is set after a snapshot that this version cannot read, which stops the replica.
 	failed bool
 	// compacting reports whether a compaction is being written.
@@ -110,7 +113,7 @@
 func openGroup(r *replicas, id int, w *logWriter, l wal.Contents, m stateMachine) (*group, error) {
 	g := &group{
 		id: id, replicas: r, writer: w, sm: m, inbox: ring.New[func()](inboxSize),
-		proposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]chan raft.ReadResult{},
+		proposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]chan raft.ReadResult{}, accepted: l.Snapshot.Data != nil,
 	}
 	g.core = raft.New(raft.Options{
 		ID: r.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, MaxBatchEntries: maxAppendEntries, StallTicks: stallTicks,
@@ -220,6 +223,7 @@
 				g.fail(err)
 				return
 			}
+			g.accepted = g.accepted || rd.Snapshot.Data != nil
 		}
 		if rd.MustSave() {
 			g.writer.jobs.Offer(writeJob{ready: rd})
@@ -283,6 +287,7 @@
 	var result []byte
 	if e.Type == raft.EntryData && len(e.Data) > 0 {
 		result = g.sm.apply(e.Data)
+		g.accepted = true
 	}
 	pending, ok := g.proposals[e.Index]
 	if !ok {
@@ -437,7 +442,8 @@
 			started <- proposalStart{err: fault.New(fault.NotLeader, "this replica does not lead")}
 			return
 		}
-		if voters := len(g.core.Conf().Voters); voters < g.replicas.node.opt.MinVoters {
+		// A group that has been formed may lack a voter while a lost one is replaced.
+		if voters := len(g.core.Conf().Voters); voters < g.replicas.node.opt.MinVoters && !g.accepted {
 			started <- proposalStart{err: fault.Newf(fault.NoQuorum, "the group has %d of %d replicas", voters, g.replicas.node.opt.MinVoters)}
 			return
 		}
--- a/internal/node/replica_test.go
+++ b/internal/node/replica_test.go
@@ -184,3 +184,29 @@
 	near := startNode(t, "a", []string{far.opt.Control}, func(o *Options) { o.DataFolder = t.TempDir() })
 	g.Expect(near.replicas.identifyReplicas(nil)).To(gomega.Equal([]raft.Peer{{ID: far.replicas.id, Addr: advertised, Domain: "b"}}))
 }
+
+// Guards against a formed group that refuses changes while a lost voter has been removed and its
+// replacement is not a voter yet.
+func TestFormedGroupAcceptsChangesWhileAVoterIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	nodes := startReplicasWith(t, func(_ int, o *Options) { o.MinVoters = 3 }, "a", "b", "c")
+	_, r := nodes[0].proposeChange("formed", 0, settings.Entries{"#deadline": "3s"})
+	g.Expect(r.Reason).To(gomega.Equal("none"))
+	lost := nodes[2]
+	lost.Close()
+	remove := func() bool {
+		for _, n := range nodes[:2] {
+			group := n.replicas.group(configGroup)
+			proposed := make(chan bool, 1)
+			group.enqueue(func() { proposed <- group.core.ProposeConf(group.core.Conf().Without(lost.replicas.id)) == nil })
+			if <-proposed {
+				return true
+			}
+		}
+		return false
+	}
+	g.Eventually(remove, 5*time.Second, 10*time.Millisecond).Should(gomega.BeTrue())
+	g.Eventually(func() int { return len(nodes[0].replicas.group(configGroup).conf.Load().Voters) }, 5*time.Second, 10*time.Millisecond).Should(gomega.Equal(2))
+	_, r = nodes[0].proposeChange("replacing", 1, settings.Entries{"#deadline": "4s"})
+	g.Expect(r.Reason).To(gomega.Equal("none"))
+}
