node tests: replicas whose disks refuse or stall run on simulated disks

TestChangesAreAcceptedAfterRefusedWritesAndALoss and TestChangesAreAcceptedDuringLeaderDiskStall failed once each beside load. Both measure times that include syncs of the machine's disk, in the folder of the test.

Evidence: a probe that syncs 200 bytes every 50 ms beside the tests (load 15 to 32) measured up to 1.54 s for a sync, and 15 above 0.3 s from 19:37:45 to 19:38:12.

With 1.1 s a sync on the refused replica both cases fail, the follower's with the message of the entry; with 0.7 s the rewrite takes 3.5 s and they pass. - With one of three disks stalled by the test a commit needs both others. One sync of 1.4 s in twenty on these: 4 of 4 runs fail, changes take about 1.45 s, and the one sync of 1.40 s lies within the change in each log. On as it is, change 26 took 1.34 s in 1 of 30 runs, within seconds of the probe's 1.54 s.

Change: the disks of both are simulated ones in memory. Bounds and checks are as before, and a failure logs the events of all replicas. Without the retry of a refused write the first one fails, without the transfer of leadership the second. The real files stay under test in internal/wal and in the tests that start replicas without such a disk.

--- a/internal/node/disk_stall_test.go
+++ b/internal/node/disk_stall_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/umberthread/umberthread/confstore"
+	"github.com/umberthread/umberthread/internal/disk/disktest"
 	"github.com/umberthread/umberthread/raft"
 	"github.com/umberthread/umberthread/settings"
 )
@@ -65,13 +66,18 @@
 	return encodeMsgpack(&c)
 }
 
-// startStallableReplicas starts three replicas whose disks can stall.
+// startStallableReplicas starts three replicas whose disks can stall. The disks are simulated ones:
+// with those of a busy machine, the other two can stall as well.
 func startStallableReplicas(t *testing.T) ([]*testNode, []*stallingDisk) {
 	disks := []*stallingDisk{{}, {}, {}}
 	nodes := startReplicasWith(t, func(i int, o *Options) {
+		o.disk = disktest.New()
 		o.wrapLog = func(log replicaLog) replicaLog { return &stallingLog{log, disks[i]} }
 	}, "a", "b", "c")
 	t.Cleanup(func() {
+		if t.Failed() {
+			logReplicaEvents(t, nodes)
+		}
 		for _, d := range disks {
 			d.resume()
 		}
--- a/internal/node/refused_write_test.go
+++ b/internal/node/refused_write_test.go
@@ -48,10 +48,13 @@
 	return fault.Wrap(fault.DiskRefused, syscall.ENOSPC, "cannot write the log")
 }
 
-// startRefusableReplicas starts three replicas whose disks can refuse writes.
+// startRefusableReplicas starts three replicas whose disks can refuse writes. The disks are
+// simulated ones: with those of a busy machine, the five syncs of a rewritten log can take longer
+// than the tests allow for a recovery.
 func startRefusableReplicas(t *testing.T) ([]*testNode, []*atomic.Bool) {
 	full := []*atomic.Bool{{}, {}, {}}
 	nodes := startReplicasWith(t, func(i int, o *Options) {
+		o.disk = disktest.New()
 		o.wrapLog = func(log replicaLog) replicaLog { return &refusingLog{log, full[i]} }
 	}, "a", "b", "c")
 	t.Cleanup(func() {
