raft test: a replica whose disk refused writes catches up, also over bad links

A group in virtual time, one of whose disks refuses writes during ten commands and then takes the rewritten log, without the messages of the refused save; no further command follows.

It is the fault of TestChangesAreAcceptedAfterRefusedWritesAndALoss as far as the core can have it; whether it was that failure, its missing logs cannot tell.

--- a/raft/slowdisk_test.go
+++ b/raft/slowdisk_test.go
@@ -49,6 +49,8 @@
 	isolated string
 	failed   map[string]bool
 	inFlight []inFlightMessage
+	// transmit, if set, returns when a message arrives, false if it is lost.
+	transmit func(now time.Duration, m Message) (arrival time.Duration, ok bool)
 }
 
 // newSlowGroup returns a group of n voters.
@@ -74,7 +76,13 @@
 func (s *slowGroup) sendMessages(ms []Message) {
 	for _, m := range ms {
 		if s.isReachable(m.From) && s.isReachable(m.To) {
-			s.inFlight = append(s.inFlight, inFlightMessage{s.clock + simStep, m})
+			arrival, ok := s.clock+simStep, true
+			if s.transmit != nil {
+				arrival, ok = s.transmit(s.clock, m)
+			}
+			if ok {
+				s.inFlight = append(s.inFlight, inFlightMessage{arrival, m})
+			}
 		}
 	}
 }
