admission: nodes come back to a limited server before its bucket is full

Cause: the level that a server with a named rate limit reports is the mean of the last 300 ms. Other nodes keep a reported level for 0.5 s and let it fall over one more second. Once the debt of a new limit is paid, the bucket fills within 0.8 s, while the nodes still stay away by a level of the time of the debt; the tokens that arrive in the full bucket are lost.

Change: the level reported stands for the tokens expected 200 ms ahead, by the rate and the requests of the last second, if that is less than the mean. What the gate admits does not change.

--- a/admission/ratelimit.go
+++ b/admission/ratelimit.go
@@ -81,6 +81,9 @@
 	newLimitFraction = 0.75
 	// levelMemory is the time constant of the moving average of the level.
 	levelMemory = 300 * time.Millisecond
+	// levelLead is how far ahead the reported level looks: nodes keep a level for longer than
+	// a bucket takes to fill, and tokens that arrive in a full bucket are lost.
+	levelLead = 200 * time.Millisecond
 )
 
 // Observe records an answer that names a limit, in requests per second.
@@ -173,15 +176,22 @@
 	l.updateLevel(now)
 }
 
-// Level returns the level below which requests were refused recently, for the nodes that choose
-// among servers.
+// Level returns the level for the nodes that choose among servers: that below which requests were
+// refused recently, or a lower one if the bucket fills.
 func (l *RateLimit) Level(now time.Duration) rank.Level {
 	if l.phase == unlimited {
 		return 0
 	}
 	l.refill(now)
 	l.updateLevel(now)
-	return rank.Level(l.level)
+	return min(rank.Level(l.level), l.levelOf(l.expectedTokens(now)))
+}
+
+// expectedTokens returns the tokens after levelLead if as many requests are sent as in the last
+// second, and at least those left now.
+func (l *RateLimit) expectedTokens(now time.Duration) float64 {
+	gain := l.rate(now) - float64(l.recent.count(now))
+	return l.tokens + max(0, gain)*levelLead.Seconds()
 }
 
 // rate returns the tokens that arrive per second.
@@ -211,13 +221,16 @@
 	l.tokens = min(l.tokens+elapsed.Seconds()*l.rate(now), l.bucketSize())
 }
 
-// instantLevel returns the level that the tokens left stand for: 0 for a full bucket, and one
+// instantLevel returns the level that the tokens left stand for.
+func (l *RateLimit) instantLevel() rank.Level { return l.levelOf(l.tokens) }
+
+// levelOf returns the level that a number of tokens stands for: 0 for a full bucket, and one
 // that admits nothing for an empty one.
-func (l *RateLimit) instantLevel() rank.Level {
-	if l.tokens < 1 {
+func (l *RateLimit) levelOf(tokens float64) rank.Level {
+	if tokens < 1 {
 		return rank.Total
 	}
-	left := min(1, (l.tokens-1)/(l.bucketSize()-1))
+	left := min(1, (tokens-1)/(l.bucketSize()-1))
 	return rank.Level((1 - left) * (rank.Total - 1))
 }
 
--- a/admission/ratelimit_test.go
+++ b/admission/ratelimit_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/umberthread/umberthread/rank"
+	"github.com/umberthread/umberthread/route"
 )
 
 // namedRate returns the limit in force, 0 for none.
@@ -163,6 +164,72 @@
 	}
 }
 
+// limitedLoad sends a steady load of the class normal to a server through nodes that keep the
+// level of each answer, and lets the server name a limit after a second. It returns the requests
+// sent from rateSettles on for rateWindow, and the tokens lost since the limit was named.
+func limitedLoad(seed uint64, nodes int, rate, load float64) (used int, lost float64) {
+	const namedAt = time.Second
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var l RateLimit
+	observed := make([]route.Observations, nodes)
+	gap := float64(time.Second) / load
+	start, sent := rng.Float64(), 0
+	var before float64
+	for i := 0; ; i++ {
+		now := time.Duration((start + float64(i) + rng.Float64()/2) * gap)
+		if now >= namedAt+rateSettles+rateWindow {
+			l.refill(namedAt + rateSettles + rateWindow)
+			return used, before + rate*(rateSettles+rateWindow).Seconds() - float64(sent) - l.tokens
+		}
+		if now < namedAt {
+			l.Take(now)
+			continue
+		}
+		if l.phase == unlimited {
+			l.Observe(namedAt, rate)
+			before = l.tokens
+		}
+		node := &observed[i%nodes]
+		r := rank.Make(rank.Normal, uint8(rng.IntN(rank.Cohorts)))
+		if !node.Level(now).Admits(r, 0) {
+			continue
+		}
+		if offer(&l, now, r) {
+			l.Observe(now, rate)
+			sent++
+			if now >= namedAt+rateSettles {
+				used++
+			}
+		}
+		node.RecordSend()
+		node.RecordOutcome(now, route.Outcome{HasLoad: true, Level: l.Level(now)}, route.EjectOptions{ConsecutiveFailures: 5})
+	}
+}
+
+// Once the debt of a new limit is paid, the nodes must come back before the bucket is full: they
+// stayed away for up to a second after it by the level that they had last heard.
+func TestNewLimitLosesNoTokensWhileNodesKeepAnOldLevel(t *testing.T) {
+	const runs = 100
+	for _, nodes := range []int{1, 2, 4, 16} {
+		for _, rate := range []float64{20, 100} {
+			for _, times := range []float64{2, 4, 16} {
+				lost, least := 0.0, math.Inf(1)
+				for seed := range uint64(runs) {
+					u, l := limitedLoad(seed, nodes, rate, times*rate)
+					lost += l / rate / runs
+					least = min(least, float64(u)/(rate*rateWindow.Seconds()))
+				}
+				if lost > 0.05*rateWindow.Seconds() {
+					t.Errorf("%d nodes, limit %.0f/s, %.0f times the load: the tokens of %.2f s were lost", nodes, rate, times, lost)
+				}
+				if least < 0.95 {
+					t.Errorf("%d nodes, limit %.0f/s, %.0f times the load: %.3f of it was used", nodes, rate, times, least)
+				}
+			}
+		}
+	}
+}
+
 // After the end of a limit the server must get its share within seconds, and no burst.
 func TestRateRecoversWithoutBurst(t *testing.T) {
 	g := gomega.NewWithT(t)
