node: what is heard of a leaving server counts before it announces itself

A node that has just started hears from other nodes that its backend server is leaving: their requests carry a report. A request that arrived before the server's announcement was refused, and its report forgotten; after the announcement, requests of the node's own callers, or of nodes without a report, went to the leaving server. The same if a response says so after the lease of the server ran out, as on a busy machine: the notice was dropped as one of another incarnation, and the server took new requests once it had announced itself again.

Change: both are recorded for the incarnation by its start time, and hold for its next announcement, not for a later incarnation. Without a start time nothing is recorded, as before. Requests take no lock more unless no server is known or it has left.

--- a/internal/node/server_report.go
+++ b/internal/node/server_report.go
@@ -117,6 +117,9 @@
 func (n *Node) adoptServerReport(v string) {
 	r, ok := parseServerReport(v)
 	be := n.local.Load()
+	if ok && be == nil && r.leaving {
+		n.expectLeaving(r.instance, r.startedAtMs)
+	}
 	if !ok || be == nil || be.instance == "" || be.instance != r.instance || be.startedAtMs != 0 && r.startedAtMs != 0 && be.startedAtMs != r.startedAtMs {
 		return
 	}
--- a/internal/node/server_state.go
+++ b/internal/node/server_state.go
@@ -57,7 +57,11 @@
 		return
 	}
 	if current := n.local.Load(); current == nil || current.incarnation != be.incarnation {
-		// An answer of an earlier incarnation says nothing about this one.
+		// An answer of an earlier incarnation says nothing about this one. One whose lease ran
+		// out may announce itself again.
+		if s.Leaving {
+			n.expectLeaving(be.instance, be.startedAtMs)
+		}
 		return
 	}
 	if s.UnreadableRateLimit && n.rateLimitLog.allow(n.clock(), 1) {
@@ -89,6 +93,20 @@
 	}
 }
 
+// expectLeaving records that an incarnation, which is not known here or no longer, is leaving, for
+// when it announces itself. Without a start time it could be taken for a later incarnation.
+func (n *Node) expectLeaving(instance string, startedAtMs int64) {
+	if startedAtMs <= 0 {
+		return
+	}
+	n.localMu.Lock()
+	defer n.localMu.Unlock()
+	if record, ok := n.leavingIncarnations[instance]; ok && record.startedAtMs > startedAtMs {
+		return
+	}
+	n.leavingIncarnations.add(instance, startedAtMs)
+}
+
 // markLeaving lets no new requests go to an incarnation of the local backend server, which has
 // said that it is about to shut down.
 func (n *Node) markLeaving(be *localBackend) {
