node: a replica is in doubt until it has met the domains of its group

Cause: by reading. After a restart a node knows no other failure domain, so none could be cut off: with settings from its disk, and after one message of a node that restarted with it, it took them for current until its link members had found the others.

Change: a domain that has a voter of a group counts as one that no link member has reported on until it is met. A domain that is gone for good leaves with its voter.

Left: a node without a replica has its settings from others, and does not know of their doubt.

--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -15,6 +15,7 @@
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/internal/disk"
+	"github.com/umberthread/umberthread/internal/links"
 	"github.com/umberthread/umberthread/internal/ring"
 	"github.com/umberthread/umberthread/internal/wal"
 	"github.com/umberthread/umberthread/raft"
@@ -386,6 +387,23 @@
 	return false
 }
 
+// unmetDomain returns another failure domain that has a voter of a group and is not among the
+// given ones, or "".
+func (r *replicas) unmetDomain(met map[string]links.RemoteDomain) string {
+	for _, g := range r.groups {
+		conf := g.conf.Load()
+		if conf == nil {
+			continue
+		}
+		for _, p := range conf.Voters {
+			if _, ok := met[p.Domain]; !ok && p.Domain != "" && p.Domain != r.node.opt.Domain {
+				return p.Domain
+			}
+		}
+	}
+	return ""
+}
+
 // leadsAny reports whether this node leads a group.
 func (r *replicas) leadsAny() bool {
 	for _, g := range r.groups {
--- a/internal/node/settings_doubt_test.go
+++ b/internal/node/settings_doubt_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/umberthread/umberthread/internal/links"
 	"github.com/umberthread/umberthread/settings"
 )
 
@@ -178,3 +179,22 @@
 	g.Eventually(func() bool { return cut.settingsCurrent(cut.conf.Load()) }, "10s").Should(gomega.BeFalse())
 	g.Consistently(func() bool { return cut.settingsCurrent(cut.conf.Load()) }, "1s").Should(gomega.BeFalse())
 }
+
+// A replica that restarts knows from its group that other failure domains exist. Before its link
+// members reach them, it must not say that something does not exist.
+func TestSettingsAreNotCurrentBeforeTheDomainsOfTheGroupAreMet(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startReplicas(t, "a", "b", "c")[1]
+	useSettings(t, "[fleet.f.service.s]\n", n)
+	n.gossip.observeVersion(viaPacket, "", 1)
+	g.Eventually(func() bool { return n.settingsCurrent(n.conf.Load()) }, "10s").Should(gomega.BeTrue())
+	var doubt settingsDoubt
+	n.gossip.runOnCore(func() {
+		known := n.view.Load()
+		defer n.view.Store(known)
+		met := map[string]links.RemoteDomain{"a": known.domains["a"]}
+		n.view.Store(&membershipView{members: known.members, replicas: known.replicas, domains: met})
+		doubt = n.settingsDoubt(n.conf.Load())
+	})
+	g.Expect(doubt.String()).To(gomega.Equal("no link member has reported on failure domain c"))
+}
--- a/internal/node/workspaces.go
+++ b/internal/node/workspaces.go
@@ -152,7 +152,8 @@
 	if silence := now - contact; contact == 0 || silence > contactTimeout {
 		return settingsDoubt{cause: noContact, silence: silence}
 	}
-	for name, d := range n.view.Load().domains {
+	domains := n.view.Load().domains
+	for name, d := range domains {
 		switch {
 		case !d.Reachable:
 			return settingsDoubt{cause: domainCutOff, domain: name}
@@ -160,6 +161,10 @@
 			return settingsDoubt{cause: domainNotReported, domain: name}
 		}
 	}
+	// A replica knows from its group which domains there are, also after a restart.
+	if name := n.replicas.unmetDomain(domains); name != "" {
+		return settingsDoubt{cause: domainNotReported, domain: name}
+	}
 	return settingsDoubt{}
 }
 
