A voter whose disk is lost is removed before its replacement gets a vote

Cause: the replacement of a lost disk became a fourth voter beside the lost identity, so the group needed three of four. If the new disk was lost again, or stalled, before the old identity was removed, two of four voters were left: no leader, no change, no read, for good, although two of three disks were sound and only one machine had ever been lost. A loss of power of all others at that moment, or none, made no difference.

Change: a voter at whose address another identity answers is removed first, once a learner is ready to be promoted; with two voters as many must answer as with three of which one is lost. Then the learner is promoted, which leaves the quorum as it is, so the confirmation of its disk may be as old as the commit of the removal.

Test changes: two kinds of failures for the disk simulation, 'wiped again' and 'dark while a replacement joins'. TestLostDiskIsReplaced expected four voters in between; it now expects two, checks once more that a lagging learner is not promoted, and TestSilentVoterIsRemovedAfterItsReplacementIsPromoted keeps the former order for silence.

--- a/repair/disk_test.go
+++ b/repair/disk_test.go
@@ -572,11 +572,12 @@
 }
 
 // succeed puts a new replica with an empty disk in the place of a lost one, and starts it.
-func (f *diskGroup) succeed(lost *diskReplica, addr string) {
+func (f *diskGroup) succeed(lost *diskReplica, addr string) *diskReplica {
 	f.successors++
 	r := &diskReplica{Peer: raft.Peer{ID: fmt.Sprintf("n%d", f.successors), Addr: addr, Domain: lost.Domain}}
 	f.replicas = append(f.replicas, r)
 	f.start(r)
+	return r
 }
 
 // remove removes a replica and its disk.
@@ -648,6 +649,30 @@
 		}
 		f.start(away)
 	},
+	// The disk that was lost is lost again while its replacement is taken in, alone or with the
+	// power of all others.
+	"wiped again": func(f *diskGroup) {
+		v := f.victim()
+		f.remove(v)
+		f.runFor(f.draw(300*time.Millisecond, 2*time.Second))
+		again := f.succeed(v, v.Addr)
+		f.runUntilMember(again)
+		if f.rng.IntN(2) == 0 {
+			f.goDarkAtOnce(again)
+			return
+		}
+		f.remove(again)
+		f.runFor(f.draw(300*time.Millisecond, 2*time.Second))
+		f.succeed(again, again.Addr)
+	},
+	// All lose power while the replacement of a lost disk is taken in; no further disk is lost.
+	"dark while a replacement joins": func(f *diskGroup) {
+		v := f.victim()
+		f.remove(v)
+		f.runFor(f.draw(300*time.Millisecond, 2*time.Second))
+		f.runUntilMember(f.succeed(v, v.Addr))
+		f.goDarkAtOnce(nil)
+	},
 	"restarts in series": func(f *diskGroup) {
 		for _, r := range slices.Clone(f.replicas) {
 			f.losePower(r)
@@ -667,6 +692,31 @@
 		}
 	}
 	f.runFor(diskStep * time.Duration(f.rng.IntN(12)))
+	f.goDarkAtOnce(lost)
+}
+
+// maxMemberWait bounds the wait for a replacement to be taken in.
+const maxMemberWait = 3 * time.Second
+
+// runUntilMember runs the simulation until the leader has just made r a learner or, as often, a
+// voter, and for up to two decisions on the membership more.
+func (f *diskGroup) runUntilMember(r *diskReplica) {
+	joined := raft.Conf.IsLearner
+	if f.rng.IntN(2) == 0 {
+		joined = raft.Conf.IsVoter
+	}
+	for limit := f.clock + maxMemberWait; f.clock < limit && f.err == nil; {
+		if l := f.leader(); l != nil && joined(l.core.Conf(), r.ID) {
+			break
+		}
+		f.advance()
+	}
+	f.runFor(diskStep * time.Duration(f.rng.IntN(2*diskCheckTicks*int(simTick/diskStep))))
+}
+
+// goDarkAtOnce cuts the power of all replicas, takes the disk of one of them unless it is nil, and
+// lets them return in any order.
+func (f *diskGroup) goDarkAtOnce(lost *diskReplica) {
 	returns := map[*diskReplica]time.Duration{}
 	last := f.clock
 	for _, r := range f.replicas {
@@ -729,7 +779,7 @@
 	for range losses {
 		kind := s.kinds[f.rng.IntN(len(s.kinds))]
 		f.plans = append(f.plans, fmt.Sprintf("%v [%s]", f.clock, kind))
-		f.guarded, f.guardedSince = !strings.HasPrefix(kind, "dark"), f.clock
+		f.guarded, f.guardedSince = !strings.HasPrefix(kind, "dark") && kind != "wiped again", f.clock
 		diskFailures[kind](f)
 		f.guarded = false
 		returned := f.clock
@@ -820,7 +870,7 @@
 var diskGroups = []struct{ available, voters int }{{3, 3}, {4, 3}, {5, 5}, {12, 5}}
 
 // allDiskKinds are the kinds of failures that a group must tolerate at the allowed spacing.
-var allDiskKinds = []string{"dark", "dark during repair", "frozen", "killed", "lost while a spare refuses", "refuses", "replaced", "restarts in series", "wiped"}
+var allDiskKinds = []string{"dark", "dark during repair", "dark while a replacement joins", "frozen", "killed", "lost while a spare refuses", "refuses", "replaced", "restarts in series", "wiped", "wiped again"}
 
 // Losses in series must neither leave a group without a leader nor take an acknowledged command,
 // also if a disk refused writes or all replicas lost power with one of the disks.
--- a/repair/repair.go
+++ b/repair/repair.go
@@ -90,7 +90,8 @@
 //
 // A learner does not affect the quorum, so it is added as soon as a voter is suspected, and another
 // one beside a learner that does not respond. It is promoted only once the voter counts as lost; a
-// voter that returns earlier keeps its place.
+// voter that returns earlier keeps its place. A voter whose disk is lost is removed right before the
+// promotion, a silent one after it, as its disk may return when another one is lost.
 func NextChange(g GroupStatus, o Options) (Plan, bool) {
 	if p, ok := updateAddress(g); ok {
 		return p, true
@@ -104,7 +105,13 @@
 		return p, true
 	}
 	if hasLost || len(g.Conf.Voters) < o.TargetVoters {
-		if p, ok := promoteLearner(g, o); ok {
+		learner, p, ok := promoteLearner(g, o)
+		if v, wiped := voterWithoutDisk(g); ok && wiped && learner.ID != "" && len(g.Conf.Voters) == o.TargetVoters {
+			// The voter is of no use any more. Beside it, the learner would add to the quorum:
+			// the loss of the new disk, or its stall, would leave none.
+			return Plan{g.Conf.Without(v.ID), "removed " + v.ID + ": its disk is lost, and learner " + learner.ID + " replaces it"}, true
+		}
+		if ok {
 			return p, true
 		}
 	}
@@ -145,25 +152,32 @@
 
 // promoteLearner plans the promotion of a healthy learner that has confirmed an entry recently.
 // A learner whose disk stalls would add to the quorum and could not contribute to it, so that the
-// group commits nothing. In an idle group, an entry that changes nothing shows whether it does.
-func promoteLearner(g GroupStatus, o Options) (Plan, bool) {
+// group commits nothing. In an idle group, an entry that changes nothing shows whether it does;
+// the plan then has no learner.
+func promoteLearner(g GroupStatus, o Options) (learner raft.Peer, p Plan, ok bool) {
+	// One more voter than an even number leaves the quorum as it is. The learner has confirmed an
+	// entry before the number became even, and the commit of that change may have taken long.
+	savedAgo := maxSavedAgo
+	if len(g.Conf.Voters)%2 == 0 {
+		savedAgo = o.ReplaceAfter
+	}
 	probe := ""
 	for _, l := range g.Conf.Learners {
 		h, ok := g.Health[l.ID]
 		if !ok || !h.isHealthy(o) {
 			continue
 		}
-		if h.SavedAgo < maxSavedAgo {
-			return Plan{g.Conf.With(l, true), "promoted learner " + l.ID + " to voter: it has caught up"}, true
+		if h.SavedAgo < savedAgo {
+			return l, Plan{g.Conf.With(l, true), "promoted learner " + l.ID + " to voter: it has caught up"}, true
 		}
 		if h.Lag == 0 {
 			probe = l.ID
 		}
 	}
 	if probe != "" {
-		return Plan{g.Conf.Without(""), "wrote an entry to check the disk of learner " + probe}, true
+		return raft.Peer{}, Plan{g.Conf.Without(""), "wrote an entry to check the disk of learner " + probe}, true
 	}
-	return Plan{}, false
+	return raft.Peer{}, Plan{}, false
 }
 
 // hasResponsiveLearner reports whether a learner was heard recently and its disk confirms entries,
@@ -189,6 +203,16 @@
 	return raft.Peer{}, false
 }
 
+// voterWithoutDisk returns a voter whose disk is lost. A silent one may return with its disk.
+func voterWithoutDisk(g GroupStatus) (raft.Peer, bool) {
+	for _, v := range g.Conf.Voters {
+		if v.ID != g.LeaderID && addressReused(g, v) {
+			return v, true
+		}
+	}
+	return raft.Peer{}, false
+}
+
 // addressReused reports whether another identity responds at the address of v.
 func addressReused(g GroupStatus, v raft.Peer) bool {
 	for _, c := range g.Candidates {
--- a/repair/repair_test.go
+++ b/repair/repair_test.go
@@ -39,7 +39,36 @@
 
 	group.Health["c2"] = Health{Lag: 3}
 	p, _ = NextChange(group, testOptions)
+	g.Expect(p.Conf.IsVoter("c")).To(gomega.BeFalse())
+	g.Expect(p.Conf.IsLearner("c2")).To(gomega.BeTrue())
+	g.Expect(p.Conf.Voters).To(gomega.HaveLen(2), "a fourth voter would need three of four to commit")
+
+	group.Conf = p.Conf
+	group.Health["c2"] = Health{Lag: 1000}
+	_, ok = NextChange(group, testOptions)
+	g.Expect(ok).To(gomega.BeFalse(), "a lagging learner must not be promoted")
+
+	group.Health["c2"] = Health{}
+	p, _ = NextChange(group, testOptions)
 	g.Expect(p.Conf.IsVoter("c2")).To(gomega.BeTrue())
+	g.Expect(p.Conf.Voters).To(gomega.HaveLen(3))
+
+	group.Conf = p.Conf
+	_, ok = NextChange(group, testOptions)
+	g.Expect(ok).To(gomega.BeFalse())
+}
+
+// TestSilentVoterIsRemovedAfterItsReplacementIsPromoted covers a voter of which only silence is
+// known: it may return with its disk, so it counts until its replacement is a voter.
+func TestSilentVoterIsRemovedAfterItsReplacementIsPromoted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	group := GroupStatus{
+		Conf:     raft.Conf{Voters: []raft.Peer{testPeer("a", "x"), testPeer("b", "y"), testPeer("c", "z")}, Learners: []raft.Peer{testPeer("d", "z")}},
+		LeaderID: "a", Health: map[string]Health{"b": {}, "c": {SilentFor: time.Minute}, "d": {Lag: 3}},
+		Candidates: []raft.Peer{testPeer("a", "x"), testPeer("b", "y"), testPeer("d", "z")},
+	}
+	p, _ := NextChange(group, testOptions)
+	g.Expect(p.Conf.IsVoter("d")).To(gomega.BeTrue())
 	g.Expect(p.Conf.Voters).To(gomega.HaveLen(4))
 
 	group.Conf = p.Conf
@@ -48,7 +77,7 @@
 	g.Expect(p.Conf.Voters).To(gomega.HaveLen(3))
 
 	group.Conf = p.Conf
-	_, ok = NextChange(group, testOptions)
+	_, ok := NextChange(group, testOptions)
 	g.Expect(ok).To(gomega.BeFalse())
 }
 
