sock: test processes on one machine give out different addresses

FreeAddr chose a random port of 127.0.0.1; while a node is down for a restart, another test process can be given its address, as packages are tested side by side. Each process now has a loopback IP address of its own, and no address is given out twice.

--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -5,7 +5,9 @@
 import (
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
+	"sync"
 	"syscall"
 
 	"github.com/umberthread/umberthread/fault"
@@ -68,20 +70,34 @@
 	lastPort  = 32767
 )
 
-// FreeAddr returns a loopback address whose TCP and UDP ports are free at the time
-// of the call, for a process that a test or benchmark starts.
+// givenAddrs holds the addresses that FreeAddr has returned: a process that is down for a moment
+// must find its address free again.
+var givenAddrs sync.Map
+
+// FreeAddr returns a loopback address whose TCP and UDP ports are free at the time of the call,
+// for a process that a test or benchmark starts. No address is returned twice, and no other
+// process that runs meanwhile gets one at the same IP address.
 func FreeAddr() (string, error) {
 	const tries = 100
+	ip := loopbackOf(os.Getpid()).String()
 	var last error
 	for range tries {
-		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort+1)))
-		if last = checkFree(addr); last == nil {
+		addr := net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort+1)))
+		if last = checkFree(addr); last != nil {
+			continue
+		}
+		if _, given := givenAddrs.LoadOrStore(addr, true); !given {
 			return addr, nil
 		}
 	}
 	return "", fault.Wrap(fault.Internal, last, "no free port")
 }
 
+// loopbackOf returns a loopback IP address of a process, other than 127.0.0.1.
+func loopbackOf(pid int) net.IP {
+	return net.IPv4(127, byte(128|pid>>16&63), byte(pid>>8), byte(pid))
+}
+
 // checkFree returns an error if the TCP or the UDP port of an address is taken.
 func checkFree(addr string) error {
 	ln, err := net.Listen("tcp", addr)
