node test: wait for the restarted node itself beside a leaving server

TestRestartedNodeKnowsLeavingServerFromOthers failed beside heavy load: the restarted node did not know that its server is leaving. After the restart the test waits until the entry node can route to some instance of the service. That may still be the one of the former process: it is listed until gossip tells of its end. Its address is that of the restarted node, which refuses all 20 requests as no server has announced itself to it yet, and the test then asks it what it knows of a server that it does not have.

Change: the test waits for the instance of the restarted node.

--- a/internal/node/server_state_restart_test.go
+++ b/internal/node/server_state_restart_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"github.com/umberthread/umberthread/internal/standin"
+	"github.com/umberthread/umberthread/route"
 )
 
 // startIdentifiedServer starts a stand-in with an identity beside a node. Its requests take
@@ -67,6 +69,16 @@
 	g.Expect(after).To(gomega.BeNumerically("<=", int(limitFactor*limitWindow.Seconds()*limit)+limitRequests))
 }
 
+// awaitInstanceOf waits until a node can route to the instance of another one of its failure
+// domain. Before that it may still know an instance of a process that ran at the same address.
+func (n *testNode) awaitInstanceOf(service string, other *testNode) {
+	n.t.Helper()
+	gomega.NewWithT(n.t).Eventually(func() bool {
+		s := n.routes.Load().Services[service]
+		return s != nil && slices.ContainsFunc(s.LocalInstances, func(in *route.Instance) bool { return in.ID == other.id })
+	}, 10*time.Second, 10*time.Millisecond).Should(gomega.BeTrue())
+}
+
 // A node that has just started must not send requests to a backend server of which other nodes
 // have heard that it is leaving.
 func TestRestartedNodeKnowsLeavingServerFromOthers(t *testing.T) {
@@ -79,7 +91,7 @@
 	g.Expect(entry.call("f/s/k", "", nil, nil).status).To(gomega.Equal(200))
 	before := len(s.Arrivals())
 	beside = beside.restartEmpty(entry.opt.Control)
-	entry.awaitInstances("f/s", 1)
+	entry.awaitInstanceOf("f/s", beside)
 	for range 20 {
 		g.Expect(entry.call("f/s/k", "", nil, nil).status).To(gomega.Equal(503))
 	}
