Tests only: the disk simulation loses disks and power while the group is cut

New kind 'dark while cut': one to half of the replicas are cut off from the others, meanwhile a disk is lost, or all lose their power and one its disk.

--- a/repair/disk_test.go
+++ b/repair/disk_test.go
@@ -81,6 +81,8 @@
 	// running is false while the machine has no power. A stopped replica still confirms its
 	// identity, but takes no part in the group. A frozen one does neither.
 	running, stopped, frozen bool
+	// cutOff is set while no message passes between it and replicas that are not cut off.
+	cutOff bool
 	// startedAt is when it was started, and silentFrom when it last went silent.
 	startedAt, silentFrom     time.Duration
 	refusesFrom, refusesUntil time.Duration
@@ -322,7 +324,11 @@
 	f.clock += diskStep
 	msgs := f.arrivingMessages()
 	for _, m := range msgs {
-		if to := f.replica(m.To); to != nil && to.isActive() && f.rng.Float64() >= f.messageLoss {
+		from, to := f.replica(m.From), f.replica(m.To)
+		if from != nil && to != nil && from.cutOff != to.cutOff {
+			continue
+		}
+		if to != nil && to.isActive() && f.rng.Float64() >= f.messageLoss {
 			to.core.Step(m)
 		}
 	}
@@ -384,7 +390,7 @@
 	}
 	for _, r := range f.replicas {
 		switch known := f.clock >= max(r.startedAt, l.startedAt)+simDiscoveryDelay; {
-		case !r.running || r.frozen:
+		case !r.running || r.frozen || r.cutOff != l.cutOff:
 			answered = false
 			if f.clock < r.silentFrom+diskVerifyTimeout && slices.Contains(l.candidates, r.Peer) {
 				l.pendingCandidate = append(l.pendingCandidate, r.Peer)
@@ -574,7 +580,7 @@
 // succeed puts a new replica with an empty disk in the place of a lost one, and starts it.
 func (f *diskGroup) succeed(lost *diskReplica, addr string) *diskReplica {
 	f.successors++
-	r := &diskReplica{Peer: raft.Peer{ID: fmt.Sprintf("n%d", f.successors), Addr: addr, Domain: lost.Domain}}
+	r := &diskReplica{Peer: raft.Peer{ID: fmt.Sprintf("n%d", f.successors), Addr: addr, Domain: lost.Domain}, cutOff: lost.cutOff}
 	f.replicas = append(f.replicas, r)
 	f.start(r)
 	return r
@@ -665,6 +671,25 @@
 		f.runFor(f.draw(300*time.Millisecond, 2*time.Second))
 		f.succeed(again, again.Addr)
 	},
+	// One half is cut off from the other, and meanwhile a disk is lost or all replicas lose their
+	// power and one its disk. Service may be suspended until all are back.
+	"dark while cut": func(f *diskGroup) {
+		for range 1 + f.rng.IntN(len(f.replicas)/2) {
+			f.cutOff(f.victim())
+		}
+		f.runFor(f.draw(0, 4*time.Second))
+		if v := f.victim(); f.rng.IntN(2) == 0 {
+			f.goDarkAtOnce(v)
+		} else {
+			f.remove(v)
+			f.runFor(f.draw(300*time.Millisecond, 2*time.Second))
+			f.succeed(v, v.Addr)
+		}
+		f.runFor(f.draw(0, 2*time.Second))
+		for _, r := range f.replicas {
+			r.cutOff, r.silentFrom = false, f.clock
+		}
+	},
 	// All lose power while the replacement of a lost disk is taken in; no further disk is lost.
 	"dark while a replacement joins": func(f *diskGroup) {
 		v := f.victim()
@@ -695,6 +720,9 @@
 	f.goDarkAtOnce(lost)
 }
 
+// cutOff cuts a replica off from all others that are not.
+func (f *diskGroup) cutOff(r *diskReplica) { r.cutOff, r.silentFrom = true, f.clock }
+
 // maxMemberWait bounds the wait for a replacement to be taken in.
 const maxMemberWait = 3 * time.Second
 
@@ -870,7 +898,7 @@
 var diskGroups = []struct{ available, voters int }{{3, 3}, {4, 3}, {5, 5}, {12, 5}}
 
 // allDiskKinds are the kinds of failures that a group must tolerate at the allowed spacing.
-var allDiskKinds = []string{"dark", "dark during repair", "dark while a replacement joins", "frozen", "killed", "lost while a spare refuses", "refuses", "replaced", "restarts in series", "wiped", "wiped again"}
+var allDiskKinds = []string{"dark", "dark during repair", "dark while a replacement joins", "dark while cut", "frozen", "killed", "lost while a spare refuses", "refuses", "replaced", "restarts in series", "wiped", "wiped again"}
 
 // Losses in series must neither leave a group without a leader nor take an acknowledged command,
 // also if a disk refused writes or all replicas lost power with one of the disks.
