node test: the backend server of expired requests is announced each time

It announced its backend server once; its ten requests of 300 ms take as long as the lease of 3 s, which then ran out before the last one. The checks are as before.

--- a/internal/node/deadline_test.go
+++ b/internal/node/deadline_test.go
@@ -49,10 +49,11 @@
 	}))
 	defer unresponsive.Close()
 	defer unresponsive.CloseClientConnections()
-	ferr := n.Announce(&Announcement{Service: "f/s", Address: unresponsive.Listener.Addr().String(), Slots: 8, Connections: 32, State: "serving"})
-	g.Expect(ferr).To(gomega.BeNil())
-	n.awaitInstances("f/s", 1)
 	for range 10 {
+		// Announced each time, as all the requests may take longer than the lease.
+		ferr := n.Announce(&Announcement{Service: "f/s", Address: unresponsive.Listener.Addr().String(), Slots: 8, Connections: 32, State: "serving"})
+		g.Expect(ferr).To(gomega.BeNil())
+		n.awaitInstances("f/s", 1)
 		r := n.call("f/s/k", "", []byte("a body"), nil)
 		g.Expect(r.err).NotTo(gomega.HaveOccurred())
 		g.Expect(r.status).To(gomega.Equal(http.StatusGatewayTimeout), r.body)
