relay test: the relay must have been without a descriptor

The same weakness as in the node's test of a lack of files: the test did not check that the relay could not accept, and descriptors freed by connections that were closed meanwhile let it accept one, which it then reset or answered at once.

Change: descriptors freed meanwhile are filled again and another connection is made, five times at most, until one gets no response for 50 ms; that one must be answered once the descriptors are free.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -35,28 +36,74 @@
 // maxDescriptors is the limit of open files that the test fills.
 const maxDescriptors = 256
 
-// fillDescriptors opens files until the process can open just one more, and returns a function
-// that closes them.
-func fillDescriptors(t *testing.T) (release func()) {
-	g := gomega.NewWithT(t)
-	var limit syscall.Rlimit
-	g.Expect(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit)).To(gomega.Succeed())
-	g.Expect(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: maxDescriptors, Max: limit.Max})).To(gomega.Succeed())
-	var files []*os.File
+// descriptors are the files that keep the process from opening others.
+type descriptors struct{ files []*os.File }
+
+// fill opens files until the process can open no more.
+func (d *descriptors) fill() {
 	for {
 		f, err := os.Open(os.DevNull)
 		if err != nil {
-			break
+			return
 		}
-		files = append(files, f)
+		d.files = append(d.files, f)
 	}
-	g.Expect(files[0].Close()).To(gomega.Succeed())
-	return func() {
-		for _, f := range files[1:] {
-			_ = f.Close()
-		}
+}
+
+// release closes a number of the files.
+func (d *descriptors) release(n int) {
+	for _, f := range d.files[:n] {
+		_ = f.Close()
+	}
+	d.files = d.files[n:]
+}
+
+// fillDescriptors lowers the limit of open files until the end of the test and fills it.
+func fillDescriptors(t *testing.T) *descriptors {
+	g := gomega.NewWithT(t)
+	var limit syscall.Rlimit
+	g.Expect(syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit)).To(gomega.Succeed())
+	g.Expect(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: maxDescriptors, Max: limit.Max})).To(gomega.Succeed())
+	d := &descriptors{}
+	t.Cleanup(func() {
+		d.release(len(d.files))
 		g.Expect(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)).To(gomega.Succeed())
+	})
+	d.fill()
+	return d
+}
+
+const (
+	// maxConnects bounds the connections until the relay accepts one no more. Others may be
+	// accepted by the descriptors of connections that are closed meanwhile.
+	maxConnects = 5
+	// unansweredFor is how long a connection that is not accepted must be without a response.
+	unansweredFor = 50 * time.Millisecond
+)
+
+// connectUnaccepted sends hello over a connection that the relay can't accept, as its process has
+// no descriptor left.
+func connectUnaccepted(t *testing.T, d *descriptors, addr string) net.Conn {
+	var err error
+	for range maxConnects {
+		d.fill()
+		d.release(1)
+		var c net.Conn
+		if c, err = net.Dial("tcp", addr); err != nil {
+			continue
+		}
+		// An accepted one stays open: it holds descriptors that would be free again.
+		t.Cleanup(func() { _ = c.Close() })
+		if _, err = c.Write([]byte("hello")); err == nil {
+			_ = c.SetDeadline(time.Now().Add(unansweredFor))
+			_, err = c.Read(make([]byte, 1))
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return c
+		}
 	}
+	t.Fatalf("each connection was accepted or failed, the last one: %v", err)
+	return nil
 }
 
 // Guards against a relay that forwards no connection any more once it could not accept one.
@@ -65,15 +112,10 @@
 	r, err := Start("127.0.0.1:0", startEcho(t))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(r.Close)
-	release := fillDescriptors(t)
-	c, err := net.Dial("tcp", r.Addr())
-	time.Sleep(50 * time.Millisecond)
-	release()
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = c.Close() }()
+	full := fillDescriptors(t)
+	c := connectUnaccepted(t, full, r.Addr())
+	full.release(len(full.files))
 	g.Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
-	_, err = c.Write([]byte("hello"))
-	g.Expect(err).NotTo(gomega.HaveOccurred())
 	got := make([]byte, 5)
 	_, err = io.ReadFull(c, got)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
