--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -106,6 +106,10 @@
 	// Retries their further attempts.
 	Calls   int64 `json:"calls"`
 	Retries int64 `json:"retries"`
+	// UnchargedRetries counts the retries after attempts that reached no backend server, and
+	// DeniedRetries those not made because the ratio of the called service was used up.
+	UnchargedRetries int64 `json:"retries_uncharged"`
+	DeniedRetries    int64 `json:"retries_denied"`
 	// Refusals counts the refusals by reason.
 	Refusals map[string]int64 `json:"refusals"`
 	// BrokenResponses counts responses that could not be sent completely.
@@ -132,6 +136,11 @@
 	InFlight int    `json:"in_flight"`
 	Queued   int    `json:"queued"`
 	Level    int    `json:"level"`
+	// FirstArrivals counts the requests that were sent to backend servers beside this node for
+	// the first time, and RepeatedArrivals those that may have reached a backend server before
+	// or were made by an execution that was a repeat.
+	FirstArrivals    int64 `json:"first_arrivals"`
+	RepeatedArrivals int64 `json:"repeated_arrivals"`
 	// RateLimit is the limit that the backend server names, in requests per second, 0 for
 	// none, and RateLimitAgeMs the time since a response last named it.
 	RateLimit      float64 `json:"rate_limit,omitempty"`
@@ -193,7 +202,7 @@
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.servedRequests.Load(), Calls: n.stats.firstAttempts.Load(),
 		Retries: n.stats.retries.Load(), Refusals: n.stats.refusalsByReason(), BrokenResponses: n.stats.brokenResponses.Load(),
 		SilentConnections: n.peers.silentConnections(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.droppedCounts(),
-		Quarantined: n.quarantine.status(),
+		Quarantined: n.quarantine.status(), UnchargedRetries: n.stats.unchargedRetries.Load(), DeniedRetries: n.stats.deniedRetries.Load(),
 	}
 	s.ConfigConfirmedMs = -1
 	if age, ok := n.confirmationAge(); ok {
@@ -229,7 +238,10 @@
 // backendStatus returns the state of the node's backend server and admission gate.
 func (n *Node) backendStatus() BackendStatus {
 	l := n.gate.load()
-	s := BackendStatus{State: "absent", Limit: l.limit, InFlight: l.inflight, Queued: l.queued, Level: int(l.level)}
+	s := BackendStatus{
+		State: "absent", Limit: l.limit, InFlight: l.inflight, Queued: l.queued, Level: int(l.level),
+		FirstArrivals: n.stats.firstArrivals.Load(), RepeatedArrivals: n.stats.repeatedArrivals.Load(),
+	}
 	if be := n.local.Load(); be != nil {
 		s.Service, s.State, s.Slots = be.service, be.memberState.String(), be.slots
 		s.Leaving = be.leaving
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -76,6 +76,8 @@
 	failureDetail  string
 	// unchargedRetries counts the retries that were not charged to the retry budget.
 	unchargedRetries int
+	// retryDenied is set if a retry was not made because the service's ratio was used up.
+	retryDenied bool
 	// brokenAttempts counts the attempts in which the backend server was lost during
 	// execution.
 	brokenAttempts int
@@ -90,6 +92,10 @@
 // replayable reports whether the call can be sent again.
 func (c *call) replayable() bool { return c.stream == nil }
 
+// isRepeat reports whether the current attempt counts as a repeat for the backend server: an
+// earlier one was charged as a retry, or the call was made by an execution that was a repeat.
+func (c *call) isRepeat() bool { return c.fromRetry || c.attempts-c.unchargedRetries > 1 }
+
 // execution is a request that the local backend server is executing. Nested calls find it by
 // its token and share its deadline, rank and retry budget.
 type execution struct {
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -205,6 +205,7 @@
 	switch retry.Decide(n.retryState(c), f) {
 	case retry.RetryUncharged:
 		c.unchargedRetries++
+		n.stats.unchargedRetries.Add(1)
 		return true
 	case retry.RetryCharged:
 		return n.spendRetry(c, throttle)
@@ -221,6 +222,8 @@
 	}
 	if !throttle.AllowRetry(n.clock(), c.rank, retryLimits(c.policy)) {
 		c.retryBudget.SettleLease(1, 0)
+		n.stats.deniedRetries.Add(1)
+		c.retryDenied = true
 		return false
 	}
 	return true
@@ -383,7 +386,7 @@
 	req := &wire.Request{
 		Attempt: n.lastAttemptID.Add(1), ID: c.id, Root: c.rootTarget, Target: c.target,
 		Remaining: c.scope.Remaining(), Rank: c.rank, Depth: c.depth, Lease: uint8(lease),
-		MayHaveExecuted: c.fromRetry || c.attempts-c.unchargedRetries > 1, ContentFingerprint: uint64(c.fingerprints.Content), CallerFingerprint: uint64(c.fingerprints.Caller),
+		MayHaveExecuted: c.isRepeat(), ContentFingerprint: uint64(c.fingerprints.Content), CallerFingerprint: uint64(c.fingerprints.Caller),
 		Method: c.method, Path: c.path, BodyLen: c.bodyLen, Header: withServerReport(c.header, n.serverReports.latest(now, in.Addr)),
 	}
 	wireResp, err := n.peers.client(in.Addr, c.policy.Silence).Do(c.scope, req, c.body, c.stream)
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -80,6 +80,7 @@
 	}
 	w := &execution{token: n.executionToken(c), call: c, incarnation: be.incarnation, scope: c.scope.Child(c.scope.Deadline())}
 	n.executionsByToken.Store(w.token, w)
+	n.stats.countArrival(c)
 	started := time.Now()
 	p.applyEvent(requestEventSend)
 	req, exchange := n.newBackendExchange(be, c, w, retryBudget)
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -81,6 +81,9 @@
 	if c.parent != nil {
 		kv = append(kv, "parent", c.parent.call.id, "parent_kind", c.parent.call.target)
 	}
+	if c.retryDenied {
+		kv = append(kv, "retry_denied", "ratio")
+	}
 	if c.failureDetail != "" {
 		kv = append(kv, "detail", c.failureDetail)
 	}
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -16,6 +16,15 @@
 	// firstAttempts counts the first attempts of calls, and retries the others.
 	firstAttempts atomic.Int64
 	retries       atomic.Int64
+	// unchargedRetries counts the retries that were not charged to the retry budgets, and
+	// deniedRetries those that were not made because the service's ratio was used up.
+	unchargedRetries atomic.Int64
+	deniedRetries    atomic.Int64
+	// firstArrivals counts the requests that were sent to the local backend server for the
+	// first time, and repeatedArrivals those that may have reached one before, or were made
+	// by an execution that was a repeat.
+	firstArrivals    atomic.Int64
+	repeatedArrivals atomic.Int64
 	// brokenResponses counts the responses that could not be sent completely.
 	brokenResponses atomic.Int64
 	// servedRequests counts the requests of callers and of the local backend server that
@@ -31,6 +40,15 @@
 // countRefusal counts a refusal or failure with the given code.
 func (s *requestCounters) countRefusal(c fault.Code) { s.refusals[c].Add(1) }
 
+// countArrival counts a request that is sent to the local backend server.
+func (s *requestCounters) countArrival(c *call) {
+	if c.isRepeat() {
+		s.repeatedArrivals.Add(1)
+		return
+	}
+	s.firstArrivals.Add(1)
+}
+
 // refusalsByReason returns the refusals by name of their fault code, without zeros.
 func (s *requestCounters) refusalsByReason() map[string]int64 {
 	out := map[string]int64{}
