--- /dev/null
+++ b/budget/arrivals.go
@@ -0,0 +1,105 @@
+package budget
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// arrivalSlicesPerWindow is the number of slices in which a window is counted. A
+	// window may begin within a slice; of the slice that it cuts, the repeats count
+	// and the first arrivals don't, so that finer slices leave less of the ratio unused.
+	arrivalSlicesPerWindow = 40
+	// arrivalSliceCount is the number of slices kept: the current and previous
+	// windows and the slice being filled.
+	arrivalSliceCount = 2*arrivalSlicesPerWindow + 1
+	// currentWindowWeight is the part of the ratio that is funded by the first arrivals
+	// of the window itself; those of the window before fund the rest. It is what a node
+	// may use that has just started. The other part can be used in an outage in which
+	// fewer requests arrive because callers fail before they make their calls.
+	currentWindowWeight = 0.5
+)
+
+// Arrivals limits the repeats that the backend server beside a node gets: the
+// requests that may have reached a backend server of the service before, and the calls
+// made by an execution that was a repeat. It is safe for concurrent use.
+//
+// A Throttle counts what one entry node decides. The sum over the entries can
+// exceed the ratio, as each uses its own best window and callers move between them.
+// Arrivals counts what arrives, and its bound adds up: in every window the repeats are
+// at most Ratio times a weighted mean of the first arrivals in that window and in the
+// one before, with the same weights at all nodes. So the sum over all nodes is at most
+// Ratio times the requests of the better of these windows, plus the bursts, wherever
+// requests move and whenever load falls. A node that was restarted has forgotten its
+// repeats, and also the first arrivals that could fund more.
+//
+// Recording a first arrival takes no lock; AllowRepeat does.
+type Arrivals struct {
+	slices [arrivalSliceCount]attemptSlice
+	mu     sync.Mutex
+}
+
+// RecordFirst counts a request that is sent to the backend server for the first
+// time. now is the time since a fixed moment.
+func (a *Arrivals) RecordFirst(now time.Duration, l Limits) {
+	a.sliceOf(now, l).firstAttempts.Add(1)
+}
+
+// AllowRepeat decides whether a repeat may be sent to the backend server, and counts
+// it if so.
+func (a *Arrivals) AllowRepeat(now time.Duration, l Limits) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.left(now, l) < 1 {
+		return false
+	}
+	a.sliceOf(now, l).retries.Add(1)
+	return true
+}
+
+// Withdraw takes back what was counted at a time for a request that was not sent
+// after all.
+func (a *Arrivals) Withdraw(at time.Duration, repeat bool, l Limits) {
+	epoch := epochAt(at, l.Window, arrivalSlicesPerWindow)
+	s := &a.slices[epoch%arrivalSliceCount]
+	switch {
+	case s.epoch.Load() != epoch:
+	case repeat:
+		s.retries.Add(-1)
+	default:
+		s.firstAttempts.Add(-1)
+	}
+}
+
+// sliceOf returns the slice at a time.
+func (a *Arrivals) sliceOf(now time.Duration, l Limits) *attemptSlice {
+	return sliceAt(a.slices[:], epochAt(now, l.Window, arrivalSlicesPerWindow))
+}
+
+// left returns how many repeats may arrive now: the least over all windows that the
+// present belongs to, from the one that ends now to the one that begins now.
+func (a *Arrivals) left(now time.Duration, l Limits) float64 {
+	// firsts[i] and repeats[i] are the counts of the i youngest slices together.
+	var firsts, repeats [arrivalSliceCount + 1]int64
+	epoch := epochAt(now, l.Window, arrivalSlicesPerWindow)
+	for i := range a.slices {
+		s := &a.slices[i]
+		if age := epoch - s.epoch.Load(); age >= 0 && age < arrivalSliceCount {
+			firsts[age+1], repeats[age+1] = s.firstAttempts.Load(), s.retries.Load()
+		}
+	}
+	for i := range arrivalSliceCount {
+		firsts[i+1] += firsts[i]
+		repeats[i+1] += repeats[i]
+	}
+	left := math.Inf(1)
+	// The window begins within the slice of this age.
+	for age := range arrivalSlicesPerWindow + 1 {
+		current := firsts[age]
+		previous := firsts[age+arrivalSlicesPerWindow] - firsts[age+1]
+		funded := currentWindowWeight*float64(current) + (1-currentWindowWeight)*float64(previous)
+		left = min(left, l.Ratio*funded+float64(l.Burst)-float64(repeats[age+1]))
+	}
+	return left
+}
--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -21,6 +21,8 @@
 	simNodeRatio = 0.8 * simRatio
 	// maxSimRetries is the retry budget of a request.
 	maxSimRetries = 6
+	// maxSimOffers is the number of nodes beside backend servers that a repeat is offered to.
+	maxSimOffers = 2
 )
 
 // simSlack returns the repeats that the operators allow beside the ratio, as the platform does
@@ -35,7 +37,8 @@
 }
 
 // simFleet plays the requests to one service over a fleet in virtual time. Callers move between
-// entry nodes, nodes are killed and paused, and the load and the failure ratio change.
+// entry nodes and requests between backend servers, nodes are killed and paused, and the load
+// and the failure ratio change.
 type simFleet struct {
 	rng     *rand.Rand
 	now     time.Duration
@@ -44,9 +47,13 @@
 	weights []float64
 	// pausedUntil is the end of the pause of each entry.
 	pausedUntil []time.Duration
-	perSecond   float64
-	failRatio   float64
-	pending     map[time.Duration][]*simRequest
+	// arrivals are the nodes beside the backend servers, the first ones of which serve only
+	// if all others are cut off.
+	arrivals  []*Arrivals
+	cutOff    int
+	perSecond float64
+	failRatio float64
+	pending   map[time.Duration][]*simRequest
 	// sent and repeated are the times at which callers sent requests and at which backend
 	// servers got repeats, in ascending order.
 	sent, repeated []time.Duration
@@ -57,6 +64,9 @@
 	for range entries {
 		f.entries = append(f.entries, &Throttle{})
 	}
+	for range (entries + 2) / 3 {
+		f.arrivals = append(f.arrivals, &Arrivals{})
+	}
 	f.moveCallers()
 	f.changeLoad()
 	return f
@@ -66,6 +76,21 @@
 	return Limits{Ratio: simNodeRatio, Window: simWindow, Burst: 1}
 }
 
+func (f *simFleet) arrivalLimits() Limits {
+	return Limits{Ratio: simRatio, Window: simWindow, Burst: 1}
+}
+
+// moveRequests cuts off a part of the backend servers.
+func (f *simFleet) moveRequests() {
+	f.cutOff = f.rng.IntN(len(f.arrivals))
+	f.rng.Shuffle(len(f.arrivals), func(i, j int) { f.arrivals[i], f.arrivals[j] = f.arrivals[j], f.arrivals[i] })
+}
+
+// pickServer returns the node beside one of the backend servers that are not cut off.
+func (f *simFleet) pickServer() *Arrivals {
+	return f.arrivals[f.cutOff+f.rng.IntN(len(f.arrivals)-f.cutOff)]
+}
+
 // moveCallers distributes the callers anew, sometimes to a few entries only.
 func (f *simFleet) moveCallers() {
 	f.weights = make([]float64, len(f.entries))
@@ -88,14 +113,19 @@
 func (f *simFleet) changeLoad()     { f.perSecond = []float64{0, 20, 60, 300, 300, 800}[f.rng.IntN(6)] }
 func (f *simFleet) changeFailures() { f.failRatio = []float64{0, 0.1, 0.6, 0.6, 1}[f.rng.IntN(5)] }
 
-// killEntries starts a part of the entries anew.
-func (f *simFleet) killEntries() {
+// killNodes starts a part of the nodes anew.
+func (f *simFleet) killNodes() {
 	share := f.rng.Float64()
 	for i := range f.entries {
 		if f.rng.Float64() < share {
 			f.entries[i] = &Throttle{}
 		}
 	}
+	for i := range f.arrivals {
+		if f.rng.Float64() < share {
+			f.arrivals[i] = &Arrivals{}
+		}
+	}
 }
 
 // pauseEntries pauses a part of the entries.
@@ -109,7 +139,7 @@
 
 // disturb makes one random change.
 func (f *simFleet) disturb() {
-	switch f.rng.IntN(6) {
+	switch f.rng.IntN(7) {
 	case 0, 1:
 		f.moveCallers()
 	case 2:
@@ -117,9 +147,11 @@
 	case 3:
 		f.changeFailures()
 	case 4:
-		f.killEntries()
+		f.killNodes()
 	case 5:
 		f.pauseEntries()
+	case 6:
+		f.moveRequests()
 	}
 }
 
@@ -142,6 +174,7 @@
 		r := &simRequest{entry: f.pickEntry(), rank: rank.Make(class, uint8(f.rng.IntN(rank.Cohorts)))}
 		f.sent = append(f.sent, f.now)
 		f.entries[r.entry].RecordFirstAttempt(f.now, f.entryLimits())
+		f.pickServer().RecordFirst(f.now, f.arrivalLimits())
 		f.attempt(r)
 	}
 }
@@ -166,8 +199,13 @@
 	if !f.entries[r.entry].AllowRetry(f.now, r.rank, f.entryLimits()) {
 		return
 	}
-	f.repeated = append(f.repeated, f.now)
-	f.attempt(r)
+	for range maxSimOffers {
+		if f.pickServer().AllowRepeat(f.now, f.arrivalLimits()) {
+			f.repeated = append(f.repeated, f.now)
+			f.attempt(r)
+			return
+		}
+	}
 }
 
 // run plays the fleet to its end, with a disturbance every two seconds on average.
--- a/budget/throttle.go
+++ b/budget/throttle.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/umberthread/umberthread/rank"
@@ -47,13 +46,6 @@
 	demand   [rank.Total]float32
 }
 
-// attemptSlice counts the attempts in one slice of a window.
-type attemptSlice struct {
-	epoch         atomic.Int64
-	firstAttempts atomic.Int64
-	retries       atomic.Int64
-}
-
 // RecordFirstAttempt counts a first attempt. now is the time since a fixed moment.
 func (t *Throttle) RecordFirstAttempt(now time.Duration, l Limits) {
 	t.currentSlice(now, l).firstAttempts.Add(1)
@@ -77,29 +69,16 @@
 	return true
 }
 
-// epochAt returns the number of the slice at now, counted from 1; 0 marks an unused
-// slice.
-func epochAt(now time.Duration, l Limits) int64 {
-	return int64(now/max(1, l.Window/slicesPerWindow)) + 1
-}
-
-// currentSlice returns the slice at now. The first caller in a new slice clears its
-// old counts; an attempt recorded concurrently may be lost.
+// currentSlice returns the slice at now.
 func (t *Throttle) currentSlice(now time.Duration, l Limits) *attemptSlice {
-	epoch := epochAt(now, l)
-	c := &t.counts[epoch%sliceCount]
-	if old := c.epoch.Load(); old != epoch && c.epoch.CompareAndSwap(old, epoch) {
-		c.firstAttempts.Store(0)
-		c.retries.Store(0)
-	}
-	return c
+	return sliceAt(t.counts[:], epochAt(now, l.Window, slicesPerWindow))
 }
 
 // allowance returns how many retries a window may have in total, and how many are
 // left. The total is funded by the highest first-attempt count of three windows:
 // the current one, the one half a window earlier and the previous one.
 func (t *Throttle) allowance(now time.Duration, l Limits) (total, left float64) {
-	epoch := epochAt(now, l)
+	epoch := epochAt(now, l.Window, slicesPerWindow)
 	var funding [3]int64
 	var repeats int64
 	for i := range t.counts {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -141,6 +141,9 @@
 	// or were made by an execution that was a repeat.
 	FirstArrivals    int64 `json:"first_arrivals"`
 	RepeatedArrivals int64 `json:"repeated_arrivals"`
+	// RefusedRepeats counts the repeats that were not sent because the ratio of the service
+	// was used up.
+	RefusedRepeats int64 `json:"refused_repeats"`
 	// RateLimit is the limit that the backend server names, in requests per second, 0 for
 	// none, and RateLimitAgeMs the time since a response last named it.
 	RateLimit      float64 `json:"rate_limit,omitempty"`
@@ -240,7 +243,7 @@
 	l := n.gate.load()
 	s := BackendStatus{
 		State: "absent", Limit: l.limit, InFlight: l.inflight, Queued: l.queued, Level: int(l.level),
-		FirstArrivals: n.stats.firstArrivals.Load(), RepeatedArrivals: n.stats.repeatedArrivals.Load(),
+		FirstArrivals: n.stats.firstArrivals.Load(), RepeatedArrivals: n.stats.repeatedArrivals.Load(), RefusedRepeats: n.stats.refusedRepeats.Load(),
 	}
 	if be := n.local.Load(); be != nil {
 		s.Service, s.State, s.Slots = be.service, be.memberState.String(), be.slots
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -36,8 +36,11 @@
 	account   *quota.Account
 	// depth is 0 for a request that a caller sent, and grows with each nested call.
 	depth uint8
-	// fromRetry is set if the call descends from an attempt that was itself a retry.
-	fromRetry bool
+	// fromRepeat is set if the call was made by an execution that was a repeat, or is one of
+	// another node.
+	fromRepeat bool
+	// reachedBackend is set if an earlier attempt may have reached a backend server.
+	reachedBackend bool
 	// parent is the execution that made this nested call, nil at the entry.
 	parent *execution
 	// conf are the settings by which the request is judged, and policy what they say of it.
@@ -93,8 +96,8 @@
 func (c *call) replayable() bool { return c.stream == nil }
 
 // isRepeat reports whether the current attempt counts as a repeat for the backend server: an
-// earlier one was charged as a retry, or the call was made by an execution that was a repeat.
-func (c *call) isRepeat() bool { return c.fromRetry || c.attempts-c.unchargedRetries > 1 }
+// earlier one may have reached one, or the call was made by an execution that was a repeat.
+func (c *call) isRepeat() bool { return c.fromRepeat || c.reachedBackend }
 
 // execution is a request that the local backend server is executing. Nested calls find it by
 // its token and share its deadline, rank and retry budget.
@@ -161,7 +164,7 @@
 func (c *call) refusal(code fault.Code, detail string, l rank.Level) *fault.Error {
 	e := fault.New(code, detail)
 	switch code {
-	case fault.Overload, fault.QueueTimeout, fault.ShareSpent, fault.Rejected, fault.RateLimited:
+	case fault.Overload, fault.QueueTimeout, fault.ShareSpent, fault.Rejected, fault.RateLimited, fault.RetryBudgetSpent:
 		e.RetryAfter = retry.RetryAfterWithin(l, c.policy.ObjectiveWithin, rand.Float64())
 	case fault.NoBackend, fault.Draining, fault.Starting:
 		e.RetryAfter = retry.RetryAfter(l, rand.Float64())
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -52,7 +52,7 @@
 	}
 	n.stats.firstAttempts.Add(1)
 	throttle, limits := n.retryThrottle(c.service), retryLimits(c.policy)
-	if c.fromRetry {
+	if c.fromRepeat {
 		throttle.RecordRetry(n.clock(), limits)
 	} else {
 		throttle.RecordFirstAttempt(n.clock(), limits)
@@ -102,7 +102,7 @@
 }
 
 // retryLimits returns the limits on retries of calls to a service, as a share of the first
-// attempts.
+// attempts: of those decided at an entry node, and of those sent to a backend server.
 func retryLimits(p *settings.Policy) budget.Limits {
 	return budget.Limits{Ratio: p.RetryRatio, Window: p.RetryWindow, Burst: p.RetryBurst}
 }
@@ -241,7 +241,11 @@
 // recordOffer records the instance if its backend server was offered the call.
 func (c *call) recordOffer(in *route.Instance, e *fault.Error) {
 	offered := e == nil || e.Execution != fault.NotExecuted || e.Code == fault.Rejected
-	if in != nil && offered && !in.IsAnyOf(c.offeredTo) {
+	if in == nil || !offered {
+		return
+	}
+	c.reachedBackend = true
+	if !in.IsAnyOf(c.offeredTo) {
 		c.offeredTo = append(c.offeredTo, in)
 	}
 }
@@ -386,7 +390,7 @@
 	req := &wire.Request{
 		Attempt: n.lastAttemptID.Add(1), ID: c.id, Root: c.rootTarget, Target: c.target,
 		Remaining: c.scope.Remaining(), Rank: c.rank, Depth: c.depth, Lease: uint8(lease),
-		MayHaveExecuted: c.isRepeat(), ContentFingerprint: uint64(c.fingerprints.Content), CallerFingerprint: uint64(c.fingerprints.Caller),
+		Repeat: c.isRepeat(), ContentFingerprint: uint64(c.fingerprints.Content), CallerFingerprint: uint64(c.fingerprints.Caller),
 		Method: c.method, Path: c.path, BodyLen: c.bodyLen, Header: withServerReport(c.header, n.serverReports.latest(now, in.Addr)),
 	}
 	wireResp, err := n.peers.client(in.Addr, c.policy.Silence).Do(c.scope, req, c.body, c.stream)
@@ -434,7 +438,7 @@
 		n.adoptServerReport(report)
 	}
 	c := &call{
-		id: r.ID, rootTarget: r.Root, target: r.Target, rank: r.Rank, depth: r.Depth, fromRetry: r.MayHaveExecuted, scope: x.Scope,
+		id: r.ID, rootTarget: r.Root, target: r.Target, rank: r.Rank, depth: r.Depth, fromRepeat: r.Repeat, scope: x.Scope,
 		method: r.Method, path: r.Path, header: r.Header, bodyLen: r.BodyLen, started: time.Now(),
 		workspace:    headerValue(r.Header, workspaceField),
 		fingerprints: quarantine.Fingerprints{Content: quarantine.Fingerprint(r.ContentFingerprint), Caller: quarantine.Fingerprint(r.CallerFingerprint)},
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -80,7 +80,13 @@
 	}
 	w := &execution{token: n.executionToken(c), call: c, incarnation: be.incarnation, scope: c.scope.Child(c.scope.Deadline())}
 	n.executionsByToken.Store(w.token, w)
-	n.stats.countArrival(c)
+	arrival, ferr := n.recordArrival(c)
+	if ferr != nil {
+		n.gate.release(admission.Outcome{})
+		p.applyEvent(requestEventExpire)
+		ferr.Execution = p.execution()
+		return nil, ferr
+	}
 	started := time.Now()
 	p.applyEvent(requestEventSend)
 	req, exchange := n.newBackendExchange(be, c, w, retryBudget)
@@ -101,6 +107,7 @@
 		n.gate.release(out)
 		if ferr.Execution == fault.NotExecuted {
 			p.applyEvent(requestEventNotSent)
+			arrival.withdraw()
 		} else {
 			p.applyEvent(requestEventLose)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	peers                     peerClients
 	kinds                     kindIndexes
 	retryThrottles            sync.Map // service -> *budget.Throttle
+	arrivals                  arrivalLimits
 	bulkheads                 sync.Map // called service -> *admission.Bulkhead
 
 	gate *admissionGate
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -25,6 +25,9 @@
 	// by an execution that was a repeat.
 	firstArrivals    atomic.Int64
 	repeatedArrivals atomic.Int64
+	// refusedRepeats counts the repeats that were not sent to the local backend server because
+	// the ratio of its service was used up.
+	refusedRepeats atomic.Int64
 	// brokenResponses counts the responses that could not be sent completely.
 	brokenResponses atomic.Int64
 	// servedRequests counts the requests of callers and of the local backend server that
@@ -40,15 +43,6 @@
 // countRefusal counts a refusal or failure with the given code.
 func (s *requestCounters) countRefusal(c fault.Code) { s.refusals[c].Add(1) }
 
-// countArrival counts a request that is sent to the local backend server.
-func (s *requestCounters) countArrival(c *call) {
-	if c.isRepeat() {
-		s.repeatedArrivals.Add(1)
-		return
-	}
-	s.firstArrivals.Add(1)
-}
-
 // refusalsByReason returns the refusals by name of their fault code, without zeros.
 func (s *requestCounters) refusalsByReason() map[string]int64 {
 	out := map[string]int64{}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -33,9 +33,9 @@
 	Depth uint8
 	// Lease is the number of retries that this call may spend.
 	Lease uint8
-	// MayHaveExecuted is set if an earlier attempt of the request, or of the one
-	// that it belongs to, may have been executed.
-	MayHaveExecuted bool
+	// Repeat is set if an earlier attempt of the request, or of the one that it
+	// belongs to, may have reached a backend server.
+	Repeat bool
 	// ContentFingerprint and CallerFingerprint are the request's fingerprints;
 	// see package quarantine.
 	ContentFingerprint, CallerFingerprint uint64
@@ -107,7 +107,7 @@
 	b = appendString(b, r.Target)
 	b = binary.AppendVarint(b, int64(r.Remaining/time.Microsecond))
 	b = binary.BigEndian.AppendUint16(b, uint16(r.Rank))
-	b = append(b, r.Depth, r.Lease, boolByte(r.MayHaveExecuted))
+	b = append(b, r.Depth, r.Lease, boolByte(r.Repeat))
 	b = binary.BigEndian.AppendUint64(b, r.ContentFingerprint)
 	b = binary.BigEndian.AppendUint64(b, r.CallerFingerprint)
 	b = appendString(b, r.Method)
@@ -245,7 +245,7 @@
 	r.Depth = d.byte()
 	r.Lease = d.byte()
 	repeat := d.byte()
-	r.MayHaveExecuted = repeat == 1
+	r.Repeat = repeat == 1
 	r.ContentFingerprint = d.uint64()
 	r.CallerFingerprint = d.uint64()
 	r.Method = d.string()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -56,6 +56,11 @@
 // draining or rate-limited instance arrives late, but rarely for several instances in a row.
 const maxUncharged = 3
 
+// maxRefusedRepeats is the maximum number of further instances to which a repeat is
+// offered that one has refused because the service's ratio of repeats is used up there.
+// More would multiply messages between nodes when it is used up everywhere.
+const maxRefusedRepeats = 1
+
 // Decide returns whether to retry a call after a failure.
 func Decide(c Call, f Failure) Verdict {
 	switch {
@@ -67,6 +72,8 @@
 		return GiveUp
 	case f.Code == fault.BackendLost && f.Execution != fault.NotExecuted && c.Terminations > maxTerminations:
 		return GiveUp
+	case f.Code == fault.RetryBudgetSpent && c.Uncharged >= maxRefusedRepeats:
+		return GiveUp
 	case neverReachedServer(f) && c.Uncharged < maxUncharged:
 		return RetryUncharged
 	case f.Code == fault.RateLimited:
@@ -89,7 +96,7 @@
 	switch f.Code {
 	case fault.Overload, fault.QueueTimeout:
 		return c.Attempts == 1 && f.InstanceChosen
-	case fault.NoBackend, fault.RateLimited:
+	case fault.NoBackend, fault.RateLimited, fault.RetryBudgetSpent:
 		return f.InstanceChosen
 	case fault.PeerLost, fault.PeerSilent, fault.BackendLost, fault.Draining, fault.Starting, fault.Protocol, fault.Rejected:
 		return true
@@ -105,7 +112,7 @@
 		return false
 	}
 	switch f.Code {
-	case fault.Draining, fault.Starting, fault.NoBackend, fault.PeerLost, fault.BackendLost, fault.RateLimited:
+	case fault.Draining, fault.Starting, fault.NoBackend, fault.PeerLost, fault.BackendLost, fault.RateLimited, fault.RetryBudgetSpent:
 		return true
 	default:
 		return false
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -34,6 +34,8 @@
 		"rate-limited instance":               {replayable, retry.Failure{Code: fault.RateLimited, InstanceChosen: true}, retry.RetryUncharged},
 		"fourth rate-limited instance":        {with(func(c *retry.Call) { c.Uncharged = 3 }), retry.Failure{Code: fault.RateLimited, InstanceChosen: true}, retry.GiveUp},
 		"only rate-limited instances left":    {replayable, retry.Failure{Code: fault.RateLimited}, retry.GiveUp},
+		"ratio of repeats used up":            {replayable, retry.Failure{Code: fault.RetryBudgetSpent, InstanceChosen: true}, retry.RetryUncharged},
+		"ratio used up at two instances":      {with(func(c *retry.Call) { c.Uncharged = 1 }), retry.Failure{Code: fault.RetryBudgetSpent, InstanceChosen: true}, retry.GiveUp},
 		"no instance chosen":                  {replayable, retry.Failure{Code: fault.Overload}, retry.GiveUp},
 		"deadline exceeded":                   {idempotent, retry.Failure{Code: fault.Deadline, Execution: fault.ExecutionUnknown, InstanceChosen: true}, retry.GiveUp},
 		"maximum offers, rejected":            {with(func(c *retry.Call) { c.Offered, c.MaxOffered = 2, 2 }), retry.Failure{Code: fault.Rejected, InstanceChosen: true}, retry.RetryCharged},
