--- a/internal/node/arrivals_test.go
+++ b/internal/node/arrivals_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -52,3 +53,28 @@
 	g.Expect(repeats).To(gomega.BeNumerically("<=", allowedRepeats))
 	g.Expect(repeats).To(gomega.BeNumerically(">=", burst*servers))
 }
+
+// Guards against counting the calls of a retry as first attempts when the retry is executed by
+// the backend server beside the entry.
+func TestCallsOfALocalRetryAreRepeats(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entry := startNode(t, "d1", nil, nil)
+	failing := startNode(t, "d1", []string{entry.opt.Control}, nil)
+	called := startNode(t, "d1", []string{entry.opt.Control}, nil)
+	useSettings(t, "[fleet.f.service.front]\nretry_ratio = 1.0\neject_max = 0\n[fleet.f.service.front.kind.k]\nidempotent = true\n[fleet.f.service.back]\nretry_ratio = 1.0\nretry_burst = 100\n[fleet.f.service.back.kind.k]\n", entry, failing, called)
+	front := map[string]standin.KindBehavior{"k": {MeanServiceTime: time.Millisecond, Calls: []string{"f/back/k"}}}
+	startStandin(t, entry, "f/front", 8, front)
+	startStandin(t, failing, "f/front", 8, front).SetFaults(standin.Faults{FailureRate: 1})
+	startStandin(t, called, "f/back", 8, map[string]standin.KindBehavior{"k": {MeanServiceTime: time.Millisecond}})
+	entry.awaitInstances("f/front", 2)
+	entry.awaitInstances("f/back", 1)
+	requests := int64(0)
+	for ; requests < 500 && entry.Status().Retries < 3; requests++ {
+		g.Expect(entry.call("f/front/k", "", nil, nil).status).To(gomega.Equal(http.StatusOK))
+	}
+	retries := entry.Status().Retries
+	arrivals := called.Status().Backend
+	g.Expect(retries).To(gomega.BeNumerically(">", 0))
+	g.Expect(arrivals.RepeatedArrivals).To(gomega.Equal(retries))
+	g.Expect(arrivals.FirstArrivals).To(gomega.Equal(requests - retries))
+}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -106,6 +106,8 @@
 	call  *call
 	// incarnation is that of the backend server that executes it.
 	incarnation uint32
+	// repeat is set if this execution is a repeat; so are its nested calls.
+	repeat bool
 	// scope ends with this attempt and cancels its nested calls; the request itself may
 	// continue at another instance.
 	scope *scope.Scope
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -173,7 +173,7 @@
 	c.rootTarget = parentCall.rootTarget
 	c.rank = parentCall.rank
 	c.depth = parent.nestedCallDepth()
-	c.fromRepeat = parentCall.fromRepeat
+	c.fromRepeat = parent.repeat
 	c.scope = parent.scope.Child(c.started.Add(allowed))
 	c.retryBudget = parentCall.retryBudget
 }
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -78,7 +78,7 @@
 		p.applyEvent(requestEventExpire)
 		return nil, &fault.Error{Code: code, Execution: p.execution(), Detail: "canceled or expired before it was executed"}
 	}
-	w := &execution{token: n.executionToken(c), call: c, incarnation: be.incarnation, scope: c.scope.Child(c.scope.Deadline())}
+	w := &execution{token: n.executionToken(c), call: c, incarnation: be.incarnation, repeat: c.isRepeat(), scope: c.scope.Child(c.scope.Deadline())}
 	n.executionsByToken.Store(w.token, w)
 	arrival, ferr := n.recordArrival(c)
 	if ferr != nil {
