--- a/fault/fault.go
+++ b/fault/fault.go
@@ -91,6 +91,9 @@
 	DiskRefused
 	// UnknownFormat means that stored data is sound but of a format that this version cannot read.
 	UnknownFormat
+	// Misdirected means that another backend server than the intended one got the request
+	// and did not execute it.
+	Misdirected
 	numCodes
 )
 
@@ -141,6 +144,7 @@
 	RateLimited:      {"rate-limited", http.StatusServiceUnavailable, 10},
 	DiskRefused:      {"disk-refused", http.StatusServiceUnavailable, 9},
 	UnknownFormat:    {"unknown-format", http.StatusInternalServerError, 8},
+	Misdirected:      {"misdirected", http.StatusServiceUnavailable, 12},
 }
 
 // String returns the name of the code as used in refusals and metrics.
--- a/internal/node/arrivals_test.go
+++ b/internal/node/arrivals_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/standin"
+	"github.com/umberthread/umberthread/route"
 )
 
 // Guards against each entry node spending the retries of the whole service.
@@ -78,3 +80,20 @@
 	g.Expect(arrivals.RepeatedArrivals).To(gomega.Equal(retries))
 	g.Expect(arrivals.FirstArrivals).To(gomega.Equal(requests - retries))
 }
+
+// Guards against attempts that a backend server got, but did not execute, and whose retries
+// count as first arrivals.
+func TestAttemptsThatReachedAServerMakeTheNextOneARepeat(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for code, repeat := range map[fault.Code]bool{
+		fault.Rejected: true, fault.Misdirected: true,
+		fault.NoBackend: false, fault.Overload: false, fault.Draining: false, fault.RateLimited: false, fault.RetryBudgetSpent: false, fault.BackendLost: false, fault.PeerLost: false,
+	} {
+		c := &call{}
+		c.recordOffer(&route.Instance{}, fault.New(code, "not executed"))
+		g.Expect(c.isRepeat()).To(gomega.Equal(repeat), code.String())
+	}
+	lost := &call{}
+	lost.recordOffer(&route.Instance{}, fault.New(fault.PeerLost, "maybe executed").WithUnknownExecution())
+	g.Expect(lost.isRepeat()).To(gomega.BeTrue())
+}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -168,7 +168,7 @@
 	switch code {
 	case fault.Overload, fault.QueueTimeout, fault.ShareSpent, fault.Rejected, fault.RateLimited, fault.RetryBudgetSpent:
 		e.RetryAfter = retry.RetryAfterWithin(l, c.policy.ObjectiveWithin, rand.Float64())
-	case fault.NoBackend, fault.Draining, fault.Starting:
+	case fault.NoBackend, fault.Misdirected, fault.Draining, fault.Starting:
 		e.RetryAfter = retry.RetryAfter(l, rand.Float64())
 	}
 	return e
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -238,14 +238,15 @@
 	}
 }
 
-// recordOffer records the instance if its backend server was offered the call.
+// recordOffer records whether the call may have reached a backend server, and the instance if
+// its own one was offered the call.
 func (c *call) recordOffer(in *route.Instance, e *fault.Error) {
-	offered := e == nil || e.Execution != fault.NotExecuted || e.Code == fault.Rejected
-	if in == nil || !offered {
+	if in == nil {
 		return
 	}
-	c.reachedBackend = true
-	if !in.IsAnyOf(c.offeredTo) {
+	offered := e == nil || e.Execution != fault.NotExecuted || e.Code == fault.Rejected
+	c.reachedBackend = c.reachedBackend || offered || e.Code == fault.Misdirected
+	if offered && !in.IsAnyOf(c.offeredTo) {
 		c.offeredTo = append(c.offeredTo, in)
 	}
 }
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -217,8 +217,12 @@
 	n.endExecution(w)
 	n.gate.release(admission.Outcome{Pushback: code == fault.Rejected})
 	p.applyEvent(requestEventNotSent)
-	if code == fault.NoBackend && n.local.Load() == be {
-		n.replaceLocal(nil, "another server answers at its address")
+	if code == fault.NoBackend {
+		// The other server got the request: unlike without any server, a retry is a repeat.
+		code = fault.Misdirected
+		if n.local.Load() == be {
+			n.replaceLocal(nil, "another server answers at its address")
+		}
 	}
 	e := c.refusal(code, "rejected by the backend server", 0)
 	e.Execution = p.execution()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -45,8 +45,8 @@
 const (
 	// GiveUp ends the call.
 	GiveUp Verdict = iota
-	// RetryUncharged retries the call without charging the retry budgets, as no
-	// backend server received it.
+	// RetryUncharged retries the call without charging the retry budgets, as the
+	// failed attempt took no capacity of the service.
 	RetryUncharged
 	// RetryCharged retries the call if the retry budgets allow it.
 	RetryCharged
@@ -74,7 +74,7 @@
 		return GiveUp
 	case f.Code == fault.RetryBudgetSpent && c.Uncharged >= maxRefusedRepeats:
 		return GiveUp
-	case neverReachedServer(f) && c.Uncharged < maxUncharged:
+	case tookNoCapacity(f) && c.Uncharged < maxUncharged:
 		return RetryUncharged
 	case f.Code == fault.RateLimited:
 		return GiveUp
@@ -96,7 +96,7 @@
 	switch f.Code {
 	case fault.Overload, fault.QueueTimeout:
 		return c.Attempts == 1 && f.InstanceChosen
-	case fault.NoBackend, fault.RateLimited, fault.RetryBudgetSpent:
+	case fault.NoBackend, fault.Misdirected, fault.RateLimited, fault.RetryBudgetSpent:
 		return f.InstanceChosen
 	case fault.PeerLost, fault.PeerSilent, fault.BackendLost, fault.Draining, fault.Starting, fault.Protocol, fault.Rejected:
 		return true
@@ -105,14 +105,14 @@
 	}
 }
 
-// neverReachedServer reports whether a failed attempt certainly reached no backend
-// server, so that a retry adds no load to any.
-func neverReachedServer(f Failure) bool {
+// tookNoCapacity reports whether a failed attempt certainly reached no backend server of
+// the service, or only one at the address of another, so that a retry adds no load.
+func tookNoCapacity(f Failure) bool {
 	if f.Code == fault.None || f.Execution != fault.NotExecuted {
 		return false
 	}
 	switch f.Code {
-	case fault.Draining, fault.Starting, fault.NoBackend, fault.PeerLost, fault.BackendLost, fault.RateLimited, fault.RetryBudgetSpent:
+	case fault.Draining, fault.Starting, fault.NoBackend, fault.Misdirected, fault.PeerLost, fault.BackendLost, fault.RateLimited, fault.RetryBudgetSpent:
 		return true
 	default:
 		return false
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -29,6 +29,7 @@
 		"maybe executed, idempotent":          {idempotent, retry.Failure{Code: fault.PeerLost, Execution: fault.ExecutionUnknown, InstanceChosen: true}, retry.RetryCharged},
 		"draining instance":                   {replayable, retry.Failure{Code: fault.Draining, InstanceChosen: true}, retry.RetryUncharged},
 		"fourth draining instance":            {with(func(c *retry.Call) { c.Uncharged = 3 }), retry.Failure{Code: fault.Draining, InstanceChosen: true}, retry.RetryCharged},
+		"another backend server answered":     {replayable, retry.Failure{Code: fault.Misdirected, InstanceChosen: true}, retry.RetryUncharged},
 		"overloaded instance":                 {replayable, retry.Failure{Code: fault.Overload, InstanceChosen: true}, retry.RetryCharged},
 		"second overloaded instance":          {with(func(c *retry.Call) { c.Attempts = 2 }), retry.Failure{Code: fault.Overload, InstanceChosen: true}, retry.GiveUp},
 		"rate-limited instance":               {replayable, retry.Failure{Code: fault.RateLimited, InstanceChosen: true}, retry.RetryUncharged},
