--- a/budget/arrivals.go
+++ b/budget/arrivals.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/umberthread/umberthread/rank"
 )
 
 const (
@@ -19,6 +21,12 @@
 	// may use that has just started. The other part can be used in an outage in which
 	// fewer requests arrive because callers fail before they make their calls.
 	currentWindowWeight = 0.5
+	// maxReserveRatio bounds the part of a window's repeats that is kept for protected
+	// requests, which would else find nothing left of what lower classes use up first.
+	maxReserveRatio = 0.25
+	// reserveSlices is the number of slices whose demand by protected requests is kept
+	// for the next ones.
+	reserveSlices = arrivalSlicesPerWindow / 10
 )
 
 // Arrivals limits the repeats that the backend server beside a node gets: the
@@ -46,15 +54,22 @@
 	a.sliceOf(now, l).firstAttempts.Add(1)
 }
 
-// AllowRepeat decides whether a repeat may be sent to the backend server, and counts
-// it if so.
-func (a *Arrivals) AllowRepeat(now time.Duration, l Limits) bool {
+// AllowRepeat decides whether a repeat of a request of rank r may be sent to the
+// backend server, and counts it if so. As many repeats as protected requests have
+// lately asked for are kept for them, up to maxReserveRatio.
+func (a *Arrivals) AllowRepeat(now time.Duration, r rank.Rank, l Limits) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.left(now, l) < 1 {
+	left, reserve := a.left(now, l)
+	s := a.sliceOf(now, l)
+	if r.Class() == rank.Protected {
+		s.protectedAsked.Add(1)
+		reserve = 0
+	}
+	if left < 1+reserve {
 		return false
 	}
-	a.sliceOf(now, l).retries.Add(1)
+	s.retries.Add(1)
 	return true
 }
 
@@ -78,28 +93,34 @@
 }
 
 // left returns how many repeats may arrive now: the least over all windows that the
-// present belongs to, from the one that ends now to the one that begins now.
-func (a *Arrivals) left(now time.Duration, l Limits) float64 {
+// present belongs to, from the one that begins now to the one that ends now. reserve
+// is how many of them are kept for protected requests.
+func (a *Arrivals) left(now time.Duration, l Limits) (left, reserve float64) {
 	// firsts[i] and repeats[i] are the counts of the i youngest slices together.
 	var firsts, repeats [arrivalSliceCount + 1]int64
+	var protectedAsked int64
 	epoch := epochAt(now, l.Window, arrivalSlicesPerWindow)
 	for i := range a.slices {
 		s := &a.slices[i]
 		if age := epoch - s.epoch.Load(); age >= 0 && age < arrivalSliceCount {
 			firsts[age+1], repeats[age+1] = s.firstAttempts.Load(), s.retries.Load()
+			if age <= reserveSlices {
+				protectedAsked += s.protectedAsked.Load()
+			}
 		}
 	}
 	for i := range arrivalSliceCount {
 		firsts[i+1] += firsts[i]
 		repeats[i+1] += repeats[i]
 	}
-	left := math.Inf(1)
+	left = math.Inf(1)
 	// The window begins within the slice of this age.
 	for age := range arrivalSlicesPerWindow + 1 {
 		current := firsts[age]
 		previous := firsts[age+arrivalSlicesPerWindow] - firsts[age+1]
-		funded := currentWindowWeight*float64(current) + (1-currentWindowWeight)*float64(previous)
-		left = min(left, l.Ratio*funded+float64(l.Burst)-float64(repeats[age+1]))
+		funded := l.Ratio * (currentWindowWeight*float64(current) + (1-currentWindowWeight)*float64(previous))
+		left = min(left, funded+float64(l.Burst)-float64(repeats[age+1]))
+		reserve = min(float64(protectedAsked), maxReserveRatio*funded)
 	}
-	return left
+	return left, reserve
 }
--- a/budget/arrivals_test.go
+++ b/budget/arrivals_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/umberthread/umberthread/rank"
 )
 
 // TestArrivalsBoundEachWindow checks for random loads of one backend server that the repeats
@@ -24,7 +26,7 @@
 				firsts = append(firsts, now)
 			}
 			for range rapid.IntRange(0, 4).Draw(t, "repeats") {
-				if a.AllowRepeat(now, l) {
+				if a.AllowRepeat(now, rank.Rank(rapid.IntRange(0, rank.Count-1).Draw(t, "rank")), l) {
 					repeats = append(repeats, now)
 				}
 			}
@@ -46,7 +48,7 @@
 	allowed := 0
 	for now := time.Duration(0); now < 40*time.Second; now += 5 * time.Millisecond {
 		a.RecordFirst(now, l)
-		if now >= 30*time.Second && a.AllowRepeat(now, l) {
+		if now >= 30*time.Second && a.AllowRepeat(now, topRank, l) {
 			allowed++
 		}
 	}
@@ -58,15 +60,43 @@
 	g := gomega.NewWithT(t)
 	l := Limits{Ratio: 0.2, Window: 10 * time.Second, Burst: 1}
 	var a Arrivals
-	g.Expect(a.AllowRepeat(time.Second, l)).To(gomega.BeTrue())
-	g.Expect(a.AllowRepeat(time.Second, l)).To(gomega.BeFalse(), "the burst is used")
+	g.Expect(a.AllowRepeat(time.Second, topRank, l)).To(gomega.BeTrue())
+	g.Expect(a.AllowRepeat(time.Second, topRank, l)).To(gomega.BeFalse(), "the burst is used")
 	a.Withdraw(time.Second, true, l)
-	g.Expect(a.AllowRepeat(2*time.Second, l)).To(gomega.BeTrue())
+	g.Expect(a.AllowRepeat(2*time.Second, topRank, l)).To(gomega.BeTrue())
 	for range 100 {
 		a.RecordFirst(2*time.Second, l)
 		a.Withdraw(2*time.Second, false, l)
 	}
-	g.Expect(a.AllowRepeat(4*time.Second, l)).To(gomega.BeFalse(), "withdrawn first arrivals pay for nothing")
+	g.Expect(a.AllowRepeat(4*time.Second, topRank, l)).To(gomega.BeFalse(), "withdrawn first arrivals pay for nothing")
+}
+
+// Guards against lower classes that use up the repeats before protected requests ask.
+func TestRepeatsAreKeptForProtectedRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := Limits{Ratio: 0.2, Window: 10 * time.Second}
+	allowed := func(protectedEvery int) (protected, normal, protectedAsked int) {
+		var a Arrivals
+		for i := range 8000 {
+			now := time.Duration(i) * 5 * time.Millisecond
+			a.RecordFirst(now, l)
+			if protectedEvery > 0 && i%protectedEvery == 0 {
+				protectedAsked++
+				if a.AllowRepeat(now, topRank, l) {
+					protected++
+				}
+			}
+			if a.AllowRepeat(now, rank.Make(rank.Normal, 0), l) {
+				normal++
+			}
+		}
+		return protected, normal, protectedAsked
+	}
+	protected, normal, asked := allowed(20)
+	g.Expect(protected).To(gomega.BeNumerically(">=", asked*8/10))
+	g.Expect(normal).To(gomega.BeNumerically(">", 0))
+	_, all, _ := allowed(0)
+	g.Expect(all).To(gomega.BeNumerically("~", protected+normal, 80), "nothing is kept that nobody asks for")
 }
 
 func BenchmarkAllowRepeat(b *testing.B) {
@@ -75,6 +105,6 @@
 	for i := range b.N {
 		now := time.Duration(i) * time.Millisecond
 		a.RecordFirst(now, l)
-		a.AllowRepeat(now, l)
+		a.AllowRepeat(now, topRank, l)
 	}
 }
--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -200,7 +200,7 @@
 		return
 	}
 	for range maxSimOffers {
-		if f.pickServer().AllowRepeat(f.now, f.arrivalLimits()) {
+		if f.pickServer().AllowRepeat(f.now, r.rank, f.arrivalLimits()) {
 			f.repeated = append(f.repeated, f.now)
 			f.attempt(r)
 			return
--- a/budget/window.go
+++ b/budget/window.go
@@ -10,6 +10,8 @@
 	epoch         atomic.Int64
 	firstAttempts atomic.Int64
 	retries       atomic.Int64
+	// protectedAsked counts the repeats of protected requests that were asked for.
+	protectedAsked atomic.Int64
 }
 
 // epochAt returns the number of the slice at now, counted from 1; 0 marks an unused
@@ -25,6 +27,7 @@
 	if old := c.epoch.Load(); old != epoch && c.epoch.CompareAndSwap(old, epoch) {
 		c.firstAttempts.Store(0)
 		c.retries.Store(0)
+		c.protectedAsked.Store(0)
 	}
 	return c
 }
--- a/internal/fleetmodel/execution.go
+++ b/internal/fleetmodel/execution.go
@@ -16,7 +16,7 @@
 	incarnation int
 	call        *call
 	retryPool   *budget.Pool
-	isRetry     bool
+	repeat      bool
 	waiter      admission.Waiter
 	// running is set while it holds a slot, which it got at startedAt.
 	running   bool
@@ -33,9 +33,9 @@
 }
 
 // accept submits a call to the node's limiter: it starts, queues or refuses it.
-func (n *node) accept(c *call, retryPool *budget.Pool, isRetry bool, onComplete func(outcome)) *execution {
+func (n *node) accept(c *call, retryPool *budget.Pool, repeat bool, onComplete func(outcome)) *execution {
 	sim := n.sim
-	e := &execution{node: n, incarnation: n.incarnation, call: c, retryPool: retryPool, isRetry: isRetry, onComplete: onComplete}
+	e := &execution{node: n, incarnation: n.incarnation, call: c, retryPool: retryPool, repeat: repeat, onComplete: onComplete}
 	sim.executions[e] = true
 	e.waiter.Request = admission.Request{
 		Rank: c.rank, Depth: c.depth, Kind: c.kind.index, Deadline: c.deadline, DownstreamOverloaded: n.nestedLevels.Level(c.rootKind.Name, sim.now) > 0,
@@ -76,7 +76,11 @@
 	n, sim := e.node, e.node.sim
 	e.running, e.startedAt = true, sim.now
 	n.server.inFlight++
-	n.server.arrivals = append(n.server.arrivals, sim.now)
+	if !e.recordArrival() {
+		e.releaseSlot(admission.Outcome{})
+		e.refuse(fault.RetryBudgetSpent)
+		return
+	}
 	if sim.rng.Float64() < n.server.rejectFraction {
 		// A rejection by the server itself is immediate.
 		e.releaseSlot(admission.Outcome{Pushback: true})
@@ -90,6 +94,21 @@
 	})
 }
 
+// recordArrival counts the call as sent to the server, or returns false if it is a repeat
+// beyond the ratio of the service.
+func (e *execution) recordArrival() bool {
+	n, sim := e.node, e.node.sim
+	if !e.repeat {
+		n.arrivals.RecordFirst(sim.now, sim.retryLimits)
+	} else if n.arrivals.AllowRepeat(sim.now, e.call.rank, sim.retryLimits) {
+		sim.result.recordRepeat(e.call.kind.Service, sim.now)
+	} else {
+		return false
+	}
+	n.server.arrivals = append(n.server.arrivals, sim.now)
+	return true
+}
+
 // isActive reports whether neither the execution nor its node has ended.
 func (e *execution) isActive() bool { return !e.completed && e.incarnation == e.node.incarnation }
 
@@ -108,7 +127,7 @@
 	kind := sim.kinds[calls[i].Kind]
 	c := &call{
 		kind: kind, rootKind: e.call.rootKind, rank: e.call.rank, depth: uint8(min(255, int(e.call.depth)+1+e.nestedCalls)),
-		isRetry: e.isRetry, parent: e, retryPool: e.retryPool, deadline: min(e.call.deadline, sim.now+kind.Deadline),
+		fromRepeat: e.repeat, parent: e, retryPool: e.retryPool, deadline: min(e.call.deadline, sim.now+kind.Deadline),
 		retryState: retry.Call{Replayable: true, Idempotent: kind.Idempotent, MaxOffered: kind.MaxOffered},
 	}
 	c.onComplete = func(o outcome) {
--- a/internal/fleetmodel/node.go
+++ b/internal/fleetmodel/node.go
@@ -30,6 +30,8 @@
 	// this node and of calls of its local backend.
 	ingressLevels, nestedLevels *pathlevel.Table
 	retryThrottles              map[string]*budget.Throttle
+	// arrivals bounds the repeats that the local backend gets.
+	arrivals *budget.Arrivals
 	// bulkheads bounds the pending calls of the local backend, by called service.
 	bulkheads map[string]*admission.Bulkhead
 	// powerLossCallbacks notify the callers of the requests that entered here when
@@ -39,11 +41,12 @@
 
 // call is a caller's request or a nested call, at the node where it starts.
 type call struct {
-	kind       *indexedKind
-	rootKind   *indexedKind
-	rank       rank.Rank
-	depth      uint8
-	isRetry    bool
+	kind     *indexedKind
+	rootKind *indexedKind
+	rank     rank.Rank
+	depth    uint8
+	// fromRepeat is set if the call was made by an execution that was a repeat.
+	fromRepeat bool
 	parent     *execution
 	retryPool  *budget.Pool
 	deadline   time.Duration
@@ -61,6 +64,9 @@
 	onComplete    func(outcome)
 }
 
+// isRepeat reports whether the next attempt is a repeat for the server that gets it.
+func (c *call) isRepeat() bool { return c.fromRepeat || len(c.offeredTo) > 0 }
+
 // outcome is the result of a call or of an attempt.
 type outcome struct {
 	// code is fault.None for a response of the server, which reports a failure if
@@ -103,10 +109,11 @@
 		return
 	}
 	share := n.retryThrottle(c.kind.Service)
-	if c.isRetry {
+	if c.fromRepeat {
 		share.RecordRetry(sim.now, sim.retryLimits)
 	} else {
 		share.RecordFirstAttempt(sim.now, sim.retryLimits)
+		sim.result.recordCall(c.kind.Service, sim.now)
 	}
 	n.startAttempt(c)
 }
@@ -176,7 +183,7 @@
 	}
 	in.Observed.RecordSend()
 	if in.ID == n.id {
-		e := n.accept(c, c.retryPool, c.isRetry, func(o outcome) {
+		e := n.accept(c, c.retryPool, c.isRepeat(), func(o outcome) {
 			c.cancelAttempt = nil
 			o.report.Latency = 0
 			in.Observed.RecordOutcome(sim.now, o.report, sim.ejectOptions())
@@ -202,7 +209,7 @@
 	lease := c.retryPool.Lease()
 	peerPool := &budget.Pool{}
 	peerPool.Reset(lease)
-	isRetry := c.isRetry || c.retryState.Attempts-c.retryState.Uncharged > 1
+	repeat := c.isRepeat()
 	var e *execution
 	pending, incarnation := true, n.incarnation
 	handleResponse := func(o outcome) {
@@ -247,7 +254,7 @@
 			detectSilence()
 			return
 		}
-		e = to.accept(c, peerPool, isRetry, func(o outcome) {
+		e = to.accept(c, peerPool, repeat, func(o outcome) {
 			o.retriesSpent = peerPool.Spent()
 			sim.schedule(latency, func() { handleResponse(o) })
 		})
--- a/internal/fleetmodel/result.go
+++ b/internal/fleetmodel/result.go
@@ -1,6 +1,7 @@
 package fleetmodel
 
 import (
+	"slices"
 	"time"
 
 	"github.com/umberthread/umberthread/fault"
@@ -17,7 +18,10 @@
 	NestedCalls    map[string]int
 	NestedFailures map[string]map[fault.Code]int
 	// RateLimits describes what each server that named a limit received.
-	RateLimits       []RateLimitResult
+	RateLimits []RateLimitResult
+	// Calls and Repeats are the times, by service and in ascending order, at which calls
+	// began that were no repeats and at which servers got repeats.
+	Calls, Repeats   map[string][]time.Duration
 	warmup           time.Duration
 	possibleBySecond []float64
 }
@@ -37,6 +41,7 @@
 	seconds := int(f.Duration/time.Second) + 1
 	r := &Result{
 		Kinds: map[string]*KindResult{}, NestedCalls: map[string]int{}, NestedFailures: map[string]map[fault.Code]int{},
+		Calls: map[string][]time.Duration{}, Repeats: map[string][]time.Duration{},
 		EarnedBySecond: make([]float64, seconds), possibleBySecond: make([]float64, seconds), warmup: f.Warmup,
 	}
 	for _, k := range f.Kinds {
@@ -47,6 +52,33 @@
 	return r
 }
 
+// recordCall records a call of a service that is no repeat.
+func (r *Result) recordCall(service string, now time.Duration) {
+	r.Calls[service] = append(r.Calls[service], now)
+}
+
+// recordRepeat records a repeat that a server of a service got.
+func (r *Result) recordRepeat(service string, now time.Duration) {
+	r.Repeats[service] = append(r.Repeats[service], now)
+}
+
+// RepeatExcess returns by how much, in any window, the repeats that the servers of a service
+// got exceed the ratio of its calls, of those in the window, in the one before or in the one
+// half a window earlier, whichever has most.
+func (r *Result) RepeatExcess(service string, ratio float64, window time.Duration) float64 {
+	count := func(times []time.Duration, from time.Duration) int {
+		first, _ := slices.BinarySearch(times, from)
+		end, _ := slices.BinarySearch(times, from+window)
+		return end - first
+	}
+	calls, repeats, worst := r.Calls[service], r.Repeats[service], 0.0
+	for _, from := range repeats {
+		funded := max(count(calls, from), count(calls, from-window/2), count(calls, from-window))
+		worst = max(worst, float64(count(repeats, from))-ratio*float64(funded))
+	}
+	return worst
+}
+
 // ValueFraction returns the earned fraction of the possible value of all requests.
 func (r *Result) ValueFraction() float64 {
 	owed, earned := 0.0, 0.0
--- a/internal/fleetmodel/scenario.go
+++ b/internal/fleetmodel/scenario.go
@@ -128,7 +128,7 @@
 // platform.
 func DefaultPolicy() Policy {
 	return Policy{
-		RetryBudget: 24, RetryRatio: 0.16, RetryBurst: 1, RetryWindow: 10 * time.Second,
+		RetryBudget: 24, RetryRatio: 0.2, RetryBurst: 1, RetryWindow: 10 * time.Second,
 		QueueMax: 128, QueueWait: time.Second, QueueTarget: 3 * time.Millisecond, Window: 100 * time.Millisecond,
 		ShareMax: 0.8, SpillAt: 0.7, EjectFailures: 5, EjectTime: time.Second, EjectMax: 0.5, Ramp: 2 * time.Second,
 		SilenceTimeout: 600 * time.Millisecond,
--- a/internal/fleetmodel/scenario_test.go
+++ b/internal/fleetmodel/scenario_test.go
@@ -124,3 +124,20 @@
 		}
 	}
 }
+
+// Guards against more repeats in a window than the ratio of the service's calls and the
+// operators' slack, while servers reject requests or lose responses and nodes lose power.
+func TestRepeatsOfAServiceStayWithinRatio(t *testing.T) {
+	const ratio, slack, window = 0.2, 207, 10 * time.Second
+	for _, name := range []string{"turned-away", "slowed"} {
+		for seed, r := range runScenario(t, name) {
+			for service, repeats := range r.Repeats {
+				excess := r.RepeatExcess(service, ratio, window)
+				t.Logf("%s, seed %d: %s got %d repeats, at most %.0f beyond the ratio in a window", name, seed, service, len(repeats), excess)
+				if excess > slack {
+					t.Errorf("%s, seed %d: %s got %.0f repeats beyond the ratio in a window, %d allowed", name, seed, service, excess, slack)
+				}
+			}
+		}
+	}
+}
--- a/internal/fleetmodel/simulation.go
+++ b/internal/fleetmodel/simulation.go
@@ -102,6 +102,7 @@
 	n.server.inFlight = 0
 	n.queued = map[*admission.Waiter]*execution{}
 	n.retryThrottles = map[string]*budget.Throttle{}
+	n.arrivals = &budget.Arrivals{}
 	n.bulkheads = map[string]*admission.Bulkhead{}
 	n.powerLossCallbacks = map[*call]func(){}
 	n.ingressLevels, n.nestedLevels = &pathlevel.Table{}, &pathlevel.Table{}
--- a/internal/node/arrivals.go
+++ b/internal/node/arrivals.go
@@ -45,7 +45,7 @@
 		n.stats.firstArrivals.Add(1)
 		return a, nil
 	}
-	if !a.counter.AllowRepeat(a.at, a.limits) && c.policy.Mode == admission.ModeFull {
+	if !a.counter.AllowRepeat(a.at, c.rank, a.limits) && c.policy.Mode == admission.ModeFull {
 		n.stats.refusedRepeats.Add(1)
 		return a, c.refusal(fault.RetryBudgetSpent, "the repeats to this backend server have used up the ratio of its service", n.gate.load().instanceLevel())
 	}
