--- a/budget/arrivals_test.go
+++ b/budget/arrivals_test.go
@@ -108,3 +108,12 @@
 		a.AllowRepeat(now, topRank, l)
 	}
 }
+
+func BenchmarkRecordFirst(b *testing.B) {
+	l := Limits{Ratio: 0.2, Window: 10 * time.Second, Burst: 1}
+	var a Arrivals
+	b.ReportAllocs()
+	for i := range b.N {
+		a.RecordFirst(time.Duration(i)*time.Microsecond, l)
+	}
+}
--- a/cmd/umberbench/soak.go
+++ b/cmd/umberbench/soak.go
@@ -120,6 +120,7 @@
 	if rep.FirstChange > 0 {
 		fmt.Printf("  a change was accepted %s after the last start of all nodes\n", rep.FirstChange.Round(time.Millisecond))
 	}
+	fmt.Printf("  %d repeats at the servers of the front service\n", rep.Repeats)
 	if rep.Stated > 0 {
 		fmt.Printf("  %d of %d requests to limited or leaving servers judged by entry node\n", rep.Judged, rep.Stated)
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,6 +21,7 @@
 	r.checkPlannedStops(runs)
 	r.checkDrains()
 	r.checkStatements()
+	r.checkRetries()
 	r.checkSettings()
 	for _, m := range r.fleet.members {
 		if m.WaitExit(0) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -33,6 +33,10 @@
 const initialSettings = `
 [default]
 deadline = "3s"
+[fleet.soak.service.front]
+retry_ratio = 0.2
+retry_burst = 1
+retry_window = "4s"
 [fleet.soak.service.front.kind.read]
 idempotent = true
 [fleet.soak.service.front.kind.note]
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -59,6 +59,8 @@
 	// limit or said that they are leaving, and Judged those from entry nodes that were told in
 	// time and are not excused.
 	Stated, Judged int
+	// Repeats counts the requests without a key that servers of the front service got again.
+	Repeats int
 	// Attempts, Served and Refused count the attempts of callers, the successful ones,
 	// and those reported as not executed.
 	Attempts, Served, Refused int
@@ -106,6 +108,8 @@
 	statements    []serverStatement
 	stated        int
 	judged        int
+	// repeats is the number of repeats that servers of the front service got.
+	repeats int
 }
 
 // Run executes the plan of one seed. It returns an error if the soak itself fails;
@@ -180,7 +184,7 @@
 	stop()
 	load.Wait()
 	r.checkPromises()
-	rep := &Report{Seed: r.options.Seed, Steps: steps, Played: played, Recovered: recovered, Missed: missed, Repaired: repaired, InForce: inForce, FirstChange: firstChange, Folder: r.fleet.Dir, Broken: r.violations, Stated: r.stated, Judged: r.judged, Changes: len(r.operators.acceptedChanges()), Outcomes: map[string]int{}}
+	rep := &Report{Seed: r.options.Seed, Steps: steps, Played: played, Recovered: recovered, Missed: missed, Repaired: repaired, InForce: inForce, FirstChange: firstChange, Folder: r.fleet.Dir, Broken: r.violations, Stated: r.stated, Judged: r.judged, Repeats: r.repeats, Changes: len(r.operators.acceptedChanges()), Outcomes: map[string]int{}}
 	for _, a := range r.callers.recordedAttempts() {
 		rep.count(a, r.isServable(a))
 	}
