--- a/budget/arrivals.go
+++ b/budget/arrivals.go
@@ -114,13 +114,14 @@
 		repeats[i+1] += repeats[i]
 	}
 	left = math.Inf(1)
-	// The window begins within the slice of this age.
+	funded := 0.0
+	// The window begins within the slice of this age; the last one is the whole window
+	// that ends now.
 	for age := range arrivalSlicesPerWindow + 1 {
 		current := firsts[age]
 		previous := firsts[age+arrivalSlicesPerWindow] - firsts[age+1]
-		funded := l.Ratio * (currentWindowWeight*float64(current) + (1-currentWindowWeight)*float64(previous))
+		funded = l.Ratio * (currentWindowWeight*float64(current) + (1-currentWindowWeight)*float64(previous))
 		left = min(left, funded+float64(l.Burst)-float64(repeats[age+1]))
-		reserve = min(float64(protectedAsked), maxReserveRatio*funded)
 	}
-	return left, reserve
+	return left, min(float64(protectedAsked), maxReserveRatio*funded)
 }
--- a/internal/node/arrivals_test.go
+++ b/internal/node/arrivals_test.go
@@ -43,6 +43,9 @@
 			entry.call("f/s/k", "", nil, nil)
 		}
 	}
+	for _, n := range nodes[:servers] {
+		g.Expect(n.runningExecutions()).To(gomega.BeZero(), "a refused repeat leaves no execution behind")
+	}
 	arrivals, distinct := 0, map[string]bool{}
 	for _, s := range backends {
 		for _, a := range s.RequestArrivals() {
@@ -56,6 +59,16 @@
 	g.Expect(repeats).To(gomega.BeNumerically(">=", burst*servers))
 }
 
+// runningExecutions returns the number of executions at the local backend server.
+func (n *testNode) runningExecutions() int {
+	running := 0
+	n.executionsByToken.Range(func(any, any) bool {
+		running++
+		return true
+	})
+	return running
+}
+
 // Guards against counting the calls of a retry as first attempts when the retry is executed by
 // the backend server beside the entry.
 func TestCallsOfALocalRetryAreRepeats(t *testing.T) {
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -36,8 +36,8 @@
 	account   *quota.Account
 	// depth is 0 for a request that a caller sent, and grows with each nested call.
 	depth uint8
-	// fromRepeat is set if the call was made by an execution that was a repeat, or is one of
-	// another node.
+	// fromRepeat is set if the call was made by an execution that was a repeat, or came as a
+	// repeat from another node.
 	fromRepeat bool
 	// reachedBackend is set if an earlier attempt may have reached a backend server.
 	reachedBackend bool
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -202,6 +202,7 @@
 	if e != nil {
 		f.Code, f.Execution = e.Code, e.Execution
 	}
+	c.retryDenied = c.retryDenied || f.Code == fault.RetryBudgetSpent
 	switch retry.Decide(n.retryState(c), f) {
 	case retry.RetryUncharged:
 		c.unchargedRetries++
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -78,8 +78,6 @@
 		p.applyEvent(requestEventExpire)
 		return nil, &fault.Error{Code: code, Execution: p.execution(), Detail: "canceled or expired before it was executed"}
 	}
-	w := &execution{token: n.executionToken(c), call: c, incarnation: be.incarnation, repeat: c.isRepeat(), scope: c.scope.Child(c.scope.Deadline())}
-	n.executionsByToken.Store(w.token, w)
 	arrival, ferr := n.recordArrival(c)
 	if ferr != nil {
 		n.gate.release(admission.Outcome{})
@@ -87,6 +85,8 @@
 		ferr.Execution = p.execution()
 		return nil, ferr
 	}
+	w := &execution{token: n.executionToken(c), call: c, incarnation: be.incarnation, repeat: c.isRepeat(), scope: c.scope.Child(c.scope.Deadline())}
+	n.executionsByToken.Store(w.token, w)
 	started := time.Now()
 	p.applyEvent(requestEventSend)
 	req, exchange := n.newBackendExchange(be, c, w, retryBudget)
