--- a/internal/fleetmodel/disturbance.go
+++ b/internal/fleetmodel/disturbance.go
@@ -1,6 +1,7 @@
 package fleetmodel
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -95,7 +96,9 @@
 // powerOff stops a node and its server and drops their requests in flight.
 func (n *node) powerOff() {
 	sim := n.sim
-	for e := range sim.executions {
+	// In the order of creation, as the order of a map would make results differ.
+	executions := slices.SortedFunc(maps.Keys(sim.executions), func(a, b *execution) int { return a.number - b.number })
+	for _, e := range executions {
 		if e.node != n || e.completed {
 			continue
 		}
@@ -107,9 +110,9 @@
 	}
 	callbacks := n.powerLossCallbacks
 	n.powerLossCallbacks = nil
-	for c, notify := range callbacks {
+	for _, c := range slices.SortedFunc(maps.Keys(callbacks), func(a, b *call) int { return a.number - b.number }) {
 		if !c.completed {
-			notify()
+			callbacks[c]()
 		}
 	}
 	n.down = true
--- a/internal/fleetmodel/execution.go
+++ b/internal/fleetmodel/execution.go
@@ -12,6 +12,8 @@
 
 // execution is a call at the node whose server executes it.
 type execution struct {
+	// number is in the order of creation.
+	number      int
 	node        *node
 	incarnation int
 	call        *call
@@ -35,7 +37,8 @@
 // accept submits a call to the node's limiter: it starts, queues or refuses it.
 func (n *node) accept(c *call, retryPool *budget.Pool, repeat bool, onComplete func(outcome)) *execution {
 	sim := n.sim
-	e := &execution{node: n, incarnation: n.incarnation, call: c, retryPool: retryPool, repeat: repeat, onComplete: onComplete}
+	sim.lastExecution++
+	e := &execution{number: sim.lastExecution, node: n, incarnation: n.incarnation, call: c, retryPool: retryPool, repeat: repeat, onComplete: onComplete}
 	sim.executions[e] = true
 	e.waiter.Request = admission.Request{
 		Rank: c.rank, Depth: c.depth, Kind: c.kind.index, Deadline: c.deadline, DownstreamOverloaded: n.nestedLevels.Level(c.rootKind.Name, sim.now) > 0,
--- a/internal/fleetmodel/node.go
+++ b/internal/fleetmodel/node.go
@@ -41,6 +41,8 @@
 
 // call is a caller's request or a nested call, at the node where it starts.
 type call struct {
+	// number is in the order in which callers sent their requests, 0 for nested calls.
+	number   int
 	kind     *indexedKind
 	rootKind *indexedKind
 	rank     rank.Rank
--- a/internal/fleetmodel/scenario_test.go
+++ b/internal/fleetmodel/scenario_test.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// Guards against results that depend on the order in which a map is walked when nodes lose
+// power.
+func TestPowerLossIsDeterministic(t *testing.T) {
+	f := LargeFleet()
+	f.Duration, f.Warmup = 6*time.Second, time.Second
+	f.Disturbances = []Disturbance{{Type: PowerLoss, Start: 2 * time.Second, Duration: time.Second, Fraction: 0.5}}
+	if a, b := Run(f, 7), Run(f, 7); !reflect.DeepEqual(a, b) {
+		t.Fatalf("two runs with the same seed differ: %.4f and %.4f", a.ValueFraction(), b.ValueFraction())
+	}
+}
+
 // runScenario returns the results of a scenario with several seeds.
 func runScenario(t *testing.T, name string) []*Result {
 	t.Helper()
--- a/internal/fleetmodel/simulation.go
+++ b/internal/fleetmodel/simulation.go
@@ -23,13 +23,15 @@
 // simulation is the state of a running scenario.
 type simulation struct {
 	eventLoop
-	scenario    Scenario
-	rng         *rand.Rand
-	kinds       map[string]*indexedKind
-	nodes       []*node
-	nodesByID   map[string]*node
-	executions  map[*execution]bool
-	retryLimits budget.Limits
+	scenario   Scenario
+	rng        *rand.Rand
+	kinds      map[string]*indexedKind
+	nodes      []*node
+	nodesByID  map[string]*node
+	executions map[*execution]bool
+	// lastExecution and lastCall are the numbers of the latest execution and call.
+	lastExecution, lastCall int
+	retryLimits             budget.Limits
 	// loadFactor multiplies the arrival rates.
 	loadFactor float64
 	// resendFraction is the fraction of callers that resend immediately, with
@@ -189,8 +191,9 @@
 		sim.result.recordOutcome(r, outcome{code: fault.NoBackend, execution: fault.NotExecuted}, sim.now)
 		return
 	}
+	sim.lastCall++
 	c := &call{
-		kind: r.kind, rootKind: r.kind, rank: rank.Make(r.kind.Class, uint8(sim.rng.IntN(rank.Cohorts))), retryPool: &budget.Pool{},
+		number: sim.lastCall, kind: r.kind, rootKind: r.kind, rank: rank.Make(r.kind.Class, uint8(sim.rng.IntN(rank.Cohorts))), retryPool: &budget.Pool{},
 		deadline:   sim.now + r.kind.Deadline,
 		retryState: retry.Call{Replayable: true, Idempotent: r.kind.Idempotent, MaxOffered: r.kind.MaxOffered},
 	}
