--- a/budget/fleet_test.go
+++ b/budget/fleet_test.go
@@ -15,10 +15,8 @@
 	simTick   = 10 * time.Millisecond
 	simLength = 45 * time.Second
 	simWindow = 10 * time.Second
-	// simRatio is the operators' bound on the repeats of a service, and simNodeRatio the part
-	// of it that an entry node uses by itself.
-	simRatio     = 0.2
-	simNodeRatio = 0.8 * simRatio
+	// simRatio is the operators' bound on the repeats of a service.
+	simRatio = 0.2
 	// maxSimRetries is the retry budget of a request.
 	maxSimRetries = 6
 	// maxSimOffers is the number of nodes beside backend servers that a repeat is offered to.
@@ -73,7 +71,7 @@
 }
 
 func (f *simFleet) entryLimits() Limits {
-	return Limits{Ratio: simNodeRatio, Window: simWindow, Burst: 1}
+	return Limits{Ratio: simRatio, Window: simWindow, Burst: 1}
 }
 
 func (f *simFleet) arrivalLimits() Limits {
