node: lines of requests tell the settings that decided; metrics of waits and fetches

A report of a request handled by old settings could not be traced: the line's config_version was that of the request's end, the node beside the backend server wrote none, and only the last wait for a version was a metric. The line has the version by which the request was judged, and the newer one that the node had heard of, if any; the node beside the server says so of completed requests too. Histogram config_delay_seconds, counters config_fetches and config_fetches_failed. TestRequestLogTellsDecidingVersion.

--- a/internal/latency/latency.go
+++ b/internal/latency/latency.go
@@ -1,5 +1,5 @@
-// Package latency counts request durations in histograms and writes them in the
-// Prometheus text format.
+// Package latency counts durations, above all of requests, in histograms and writes them in
+// the Prometheus text format.
 package latency
 
 import (
@@ -17,13 +17,15 @@
 	400 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 6 * time.Second,
 }
 
-// histogram counts durations. Its last bucket is unbounded.
-type histogram struct {
+// Histogram counts durations. Its last bucket is unbounded. It is safe for concurrent use, and
+// its zero value is empty.
+type Histogram struct {
 	buckets   [len(bucketBounds) + 1]atomic.Int64
 	sumMicros atomic.Int64
 }
 
-func (h *histogram) observe(d time.Duration) {
+// Observe counts a duration.
+func (h *Histogram) Observe(d time.Duration) {
 	i := sort.Search(len(bucketBounds), func(i int) bool { return d <= bucketBounds[i] })
 	h.buckets[i].Add(1)
 	h.sumMicros.Add(d.Microseconds())
@@ -41,28 +43,41 @@
 	k := seriesKey{class, outcome}
 	v, ok := t.m.Load(k)
 	if !ok {
-		v, _ = t.m.LoadOrStore(k, &histogram{})
+		v, _ = t.m.LoadOrStore(k, &Histogram{})
 	}
-	v.(*histogram).observe(took)
+	v.(*Histogram).Observe(took)
 }
 
 // WriteText writes the histograms in the Prometheus text format, in seconds. It ignores
 // write errors.
 func (t *Table) WriteText(w io.Writer) {
 	t.m.Range(func(k, v any) bool {
-		series, h := k.(seriesKey), v.(*histogram)
+		series, h := k.(seriesKey), v.(*Histogram)
 		labels := fmt.Sprintf("class=%q,outcome=%q", series.class, series.outcome)
-		sum := int64(0)
-		for i := range h.buckets {
-			sum += h.buckets[i].Load()
-			bound := "+Inf"
-			if i < len(bucketBounds) {
-				bound = fmt.Sprint(bucketBounds[i].Seconds())
-			}
-			fmt.Fprintf(w, "umberthread_request_seconds_bucket{%s,le=%q} %d\n", labels, bound, sum)
-		}
-		fmt.Fprintf(w, "umberthread_request_seconds_count{%s} %d\n", labels, sum)
-		fmt.Fprintf(w, "umberthread_request_seconds_sum{%s} %g\n", labels, float64(h.sumMicros.Load())/1e6)
+		h.writeText(w, "umberthread_request_seconds", labels)
 		return true
 	})
 }
+
+// WriteText writes the histogram under a name in the Prometheus text format, in seconds. It
+// ignores write errors.
+func (h *Histogram) WriteText(w io.Writer, name string) { h.writeText(w, name, "") }
+
+// writeText writes the histogram with labels, which may be empty.
+func (h *Histogram) writeText(w io.Writer, name, labels string) {
+	bucketLabels, all := "", ""
+	if labels != "" {
+		bucketLabels, all = labels+",", "{"+labels+"}"
+	}
+	sum := int64(0)
+	for i := range h.buckets {
+		sum += h.buckets[i].Load()
+		bound := "+Inf"
+		if i < len(bucketBounds) {
+			bound = fmt.Sprint(bucketBounds[i].Seconds())
+		}
+		fmt.Fprintf(w, "%s_bucket{%sle=%q} %d\n", name, bucketLabels, bound, sum)
+	}
+	fmt.Fprintf(w, "%s_count%s %d\n", name, all, sum)
+	fmt.Fprintf(w, "%s_sum%s %g\n", name, all, float64(h.sumMicros.Load())/1e6)
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -83,6 +83,10 @@
 	// of it, in milliseconds.
 	HeardVersion      uint64 `json:"config_heard_version"`
 	ActivationDelayMs int64  `json:"config_late_ms"`
+	// ConfigFetches counts the fetches of settings from other nodes, and FailedConfigFetches
+	// those that failed.
+	ConfigFetches       int64 `json:"config_fetches"`
+	FailedConfigFetches int64 `json:"config_fetches_failed"`
 	// ConfigConfirmedMs is how long ago a quorum of replicas confirmed that the version in
 	// force, or an older one, was the newest, in milliseconds, -1 for never. Nodes ask for it
 	// to read the current settings, and all the time with Options.KeyTrust.
@@ -201,7 +205,8 @@
 	v := n.view.Load()
 	s := Status{
 		ID: n.id, Name: n.opt.Name, Domain: n.opt.Domain, UptimeMs: n.clock().Milliseconds(),
-		Config: n.conf.Load().version, HeardVersion: n.gossip.highestVersion.Load(), ActivationDelayMs: n.versions.activationDelay().Milliseconds(), Replicas: len(v.replicas), UnresponsiveAddresses: n.gossip.lostAddresses(), Backend: n.backendStatus(), State: nodeChart.StateName(n.state.load()),
+		Config: n.conf.Load().version, HeardVersion: n.gossip.highestVersion.Load(), ActivationDelayMs: n.versions.activationDelay().Milliseconds(),
+		ConfigFetches: n.versions.fetches.Load(), FailedConfigFetches: n.versions.failedFetches.Load(), Replicas: len(v.replicas), UnresponsiveAddresses: n.gossip.lostAddresses(), Backend: n.backendStatus(), State: nodeChart.StateName(n.state.load()),
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.servedRequests.Load(), Calls: n.stats.firstAttempts.Load(),
 		Retries: n.stats.retries.Load(), Refusals: n.stats.refusalsByReason(), BrokenResponses: n.stats.brokenResponses.Load(),
 		SilentConnections: n.peers.silentConnections(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.droppedCounts(),
@@ -497,8 +502,12 @@
 	writeJSON(w, n.Status())
 }
 
-// WriteLatencies writes the latency histograms of callers' requests as text.
-func (n *Node) WriteLatencies(w io.Writer) { n.latencies.WriteText(w) }
+// WriteLatencies writes, as text, the histograms of the latencies of callers' requests and of
+// the time that settings took to become active.
+func (n *Node) WriteLatencies(w io.Writer) {
+	n.latencies.WriteText(w)
+	n.versions.delays.WriteText(w, "umberthread_config_delay_seconds")
+}
 
 // serveVars returns the expvar variables and this node's status. The status is not
 // registered with expvar, so several nodes can run in one test process.
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -44,13 +44,15 @@
 	// parent is the execution that made this nested call, nil at the entry.
 	parent *execution
 	// conf are the settings by which the request is judged, and policy what they say of it.
-	conf        *config
-	policy      *settings.Policy
-	retryBudget *budget.Pool
-	scope       *scope.Scope
-	method      string
-	path        string
-	header      []wire.Field
+	// heardVersion is the newest version that the node had heard of then.
+	conf         *config
+	heardVersion uint64
+	policy       *settings.Policy
+	retryBudget  *budget.Pool
+	scope        *scope.Scope
+	method       string
+	path         string
+	header       []wire.Field
 
 	// body is the whole body if it is small enough to be sent again; otherwise stream is read
 	// once. bodyLen is the length in bytes, negative if unknown.
@@ -92,6 +94,24 @@
 	started    time.Time
 }
 
+// bindConfig judges the call by the settings in force and returns them.
+func (n *Node) bindConfig(c *call) *config {
+	c.conf, c.heardVersion = n.conf.Load(), n.gossip.highestVersion.Load()
+	return c.conf
+}
+
+// hasOutdatedConfig reports whether the node had heard of newer settings when it judged the call.
+func (c *call) hasOutdatedConfig() bool { return c.conf != nil && c.heardVersion > c.conf.version }
+
+// configVersion returns the version of the settings by which the call is judged, or 0 if it was
+// refused before.
+func (c *call) configVersion() uint64 {
+	if c.conf == nil {
+		return 0
+	}
+	return c.conf.version
+}
+
 // replayable reports whether the call can be sent again.
 func (c *call) replayable() bool { return c.stream == nil }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -133,7 +133,9 @@
 func (n *Node) fetchConfig(addr string, timeout time.Duration) error {
 	var reply control.FetchReply
 	req := control.FetchRequest{Since: n.conf.Load().version}
+	n.versions.fetches.Add(1)
 	if err := n.control.pool.Call(addr, "Fetch", &req, &reply, timeout); err != nil {
+		n.versions.failedFetches.Add(1)
 		return err
 	}
 	if reply.Full != nil {
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -462,6 +462,7 @@
 		return
 	}
 	defer resp.close()
+	n.logOutdatedPeerRequest(c)
 	reply.Execution = fault.Executed
 	reply.Status = uint16(resp.status)
 	reply.Header = n.appendServerReport(resp.header)
@@ -479,7 +480,7 @@
 		return nil, fault.New(fault.BadRequest, "malformed target")
 	}
 	c.service = serviceOfTarget(c.target)
-	c.conf = n.conf.Load()
+	n.bindConfig(c)
 	c.policy = c.conf.tree.Policy(c.target)
 	if c.bodyLen > int64(c.policy.BodyMax) {
 		return nil, n.unlessOutdated(c.conf, fault.New(fault.TooLarge, "the body is larger than this request kind allows"))
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -94,8 +94,7 @@
 		rest += "?" + r.URL.RawQuery
 	}
 	c := &call{target: target, service: serviceOfTarget(target), method: r.Method, path: rest, started: time.Now()}
-	c.conf = n.conf.Load()
-	c.policy, ok = c.conf.tree.KindPolicy(target)
+	c.policy, ok = n.bindConfig(c).tree.KindPolicy(target)
 	if !ok {
 		return nil, n.unlessOutdated(c.conf, unknownTarget(c.conf, c))
 	}
--- a/internal/node/http_adapter.go
+++ b/internal/node/http_adapter.go
@@ -83,8 +83,7 @@
 	if ferr != nil {
 		return c, ferr
 	}
-	conf := n.conf.Load()
-	c.conf = conf
+	conf := n.bindConfig(c)
 	if !conf.tree.HasRoutes() {
 		return c, c.refusal(fault.Starting, "this node has no settings yet", 0)
 	}
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -65,7 +65,7 @@
 // the line limits.
 func (n *Node) logRequest(c *call, code fault.Code, run fault.Execution, took time.Duration, sampled bool) {
 	late := took > c.latencyObjective()
-	notable := code != fault.None || c.attempts > 1 || late || c.failedAttempts.Len() > 0
+	notable := code != fault.None || c.attempts > 1 || late || c.failedAttempts.Len() > 0 || c.hasOutdatedConfig()
 	limiter, limit := &n.requestLog.routine, int64(routineLinesPerSecond)
 	if notable {
 		limiter, limit = &n.requestLog.notable, notableLinesPerSecond
@@ -76,11 +76,14 @@
 	kv := []any{
 		"id", c.id, "kind", c.target, "outcome", code.String(), "run", run.String(), "took_ms", took.Milliseconds(),
 		"attempts", c.attempts, "tried", c.failedAttempts.String(), "rank", uint16(c.rank), "depth", c.depth,
-		"path_level", uint16(n.entryLevels.Level(c.rootTarget, n.clock())), "config_version", n.conf.Load().version,
+		"path_level", uint16(n.entryLevels.Level(c.rootTarget, n.clock())), "config_version", c.configVersion(),
 	}
 	if c.parent != nil {
 		kv = append(kv, "parent", c.parent.call.id, "parent_kind", c.parent.call.target)
 	}
+	if c.hasOutdatedConfig() {
+		kv = append(kv, "heard_version", c.heardVersion)
+	}
 	if c.retryDenied {
 		kv = append(kv, "retry_denied", "ratio")
 	}
@@ -117,7 +120,17 @@
 		return
 	}
 	load := n.gate.load()
-	n.info("serve", "Request of another node not completed.", "id", c.id, "kind", c.target, "reason", e.Code.String(), "run", e.Execution.String(),
+	n.info("serve", "Request of another node not completed.", "id", c.id, "kind", c.target, "config_version", c.configVersion(), "reason", e.Code.String(), "run", e.Execution.String(),
 		"in_flight", load.inflight, "queued", load.queued, "limit", load.limit, "admission_level", uint16(load.level), "rank", uint16(c.rank),
 		"remaining_ms", c.scope.Remaining().Milliseconds(), "detail", strings.TrimSpace(e.Detail))
 }
+
+// logOutdatedPeerRequest logs a completed request of another node that was judged by settings
+// older than this node has heard of.
+func (n *Node) logOutdatedPeerRequest(c *call) {
+	if !c.hasOutdatedConfig() || !n.requestLog.notable.allow(n.clock(), notableLinesPerSecond) {
+		return
+	}
+	n.info("serve", "Request of another node completed by older settings.", "id", c.id, "kind", c.target,
+		"config_version", c.configVersion(), "heard_version", c.heardVersion)
+}
--- a/internal/node/version_tracker.go
+++ b/internal/node/version_tracker.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/umberthread/umberthread/internal/latency"
 	"github.com/umberthread/umberthread/raft"
 )
 
@@ -38,6 +40,10 @@
 	// lastDelay is how long the latest version took to become active after the node
 	// learned that one was missing.
 	lastDelay time.Duration
+	// delays counts how long versions heard of from other nodes took to become active.
+	delays latency.Histogram
+	// fetches and failedFetches count the fetches from other nodes.
+	fetches, failedFetches atomic.Int64
 	// confirmedAt is the latest time at which a quorum confirmed to this node that a version
 	// that it has was the newest, 0 for never.
 	confirmedAt time.Duration
@@ -74,6 +80,7 @@
 	}
 	delay, source, from = now-t.pendingSince, t.source, t.from
 	t.lastDelay = delay
+	t.delays.Observe(delay)
 	if version >= t.pending {
 		t.pending = 0
 	}
