--- a/internal/node/config_fetch_test.go
+++ b/internal/node/config_fetch_test.go
@@ -27,6 +27,28 @@
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second))
 }
 
+// settingsDeadline is the time within which accepted settings must be active on every node.
+const settingsDeadline = 2 * time.Second
+
+// Guards against waiting for one unresponsive node after the other while a node that responds
+// has the settings, too.
+func TestSettingsFetchSkipsSeveralUnresponsiveNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	behindNode, ahead := startNode(t, "a", nil, nil), startNode(t, "a", nil, nil)
+	ahead.applyDocument(7, settings.Entries{"#deadline": "4s"})
+	const unresponsiveNodes = 6
+	for range unresponsiveNodes {
+		unresponsive, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = unresponsive.Close() }()
+		behindNode.gossip.observeVersion(viaPacket, unresponsive.Addr().String(), 7)
+	}
+	began := time.Now()
+	behindNode.gossip.observeVersion(viaPacket, ahead.opt.Control, 7)
+	g.Eventually(func() uint64 { return behindNode.conf.Load().version }, 10*time.Second, 5*time.Millisecond).Should(gomega.Equal(uint64(7)))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", settingsDeadline))
+}
+
 func TestSettingsFetchTimeoutGrowsAfterFailures(t *testing.T) {
 	g := gomega.NewWithT(t)
 	g.Expect(fetchTimeoutAfter(0)).To(gomega.Equal(initialFetchTimeout))
