control: a call with a large reply goes on while it arrives

A reply that took longer than the call's time limit was given up while it arrived, and sent again as a whole, over a link that was slow already. CallWhileArriving ends a call once nothing has arrived on the connection for a time. Not used yet. TestCallWaitsWhileTheReplyArrives, TestCallEndsWhileTheReplyArrives.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -304,30 +304,44 @@
 // process may have been restarted, so the call is sent once more on a new connection; all
 // methods are idempotent. The reply is not written after Call has returned.
 func (p *Pool) Call(addr, method string, args, reply any, timeout time.Duration) error {
-	deadline := time.Now().Add(timeout)
+	return p.CallWhileArriving(addr, method, args, reply, timeout, timeout)
+}
+
+// CallWhileArriving is Call for a reply that may be large: it ends once nothing has arrived on the
+// connection for silence, or after timeout.
+func (p *Pool) CallWhileArriving(addr, method string, args, reply any, silence, timeout time.Duration) error {
+	began := time.Now()
 	for first := true; ; first = false {
-		c, reused, err := p.acquire(addr, time.Until(deadline))
+		c, reused, err := p.acquire(addr, time.Until(began.Add(silence)))
 		if err != nil {
 			return fault.Wrap(fault.PeerLost, err, "cannot connect to "+addr)
 		}
-		closed, err := p.callOn(c, addr, method, args, reply, time.Until(deadline))
+		limits := callLimits{firstSilence: time.Until(began.Add(silence)), silence: silence, deadline: began.Add(timeout)}
+		closed, err := p.callOn(c, addr, method, args, reply, limits)
 		if !closed || !reused || !first {
 			return err
 		}
 	}
 }
 
+// callLimits bound the wait for a reply: nothing may arrive for firstSilence at the beginning and
+// for silence afterwards, and the reply must be complete by the deadline.
+type callLimits struct {
+	firstSilence, silence time.Duration
+	deadline              time.Time
+}
+
 // callOn calls a method over one connection and releases it. closed reports
 // whether the connection failed before the reply.
-func (p *Pool) callOn(c *pooledConn, addr, method string, args, reply any, timeout time.Duration) (closed bool, err error) {
+func (p *Pool) callOn(c *pooledConn, addr, method string, args, reply any, limits callLimits) (closed bool, err error) {
 	defer p.release(c)
 	expired := make(chan struct{})
 	var sent atomic.Bool
 	receipts := c.received.receipts.Load()
 	// net/rpc writes the request on this goroutine. The write blocks while the peer reads
 	// nothing, until the connection is closed.
-	t := time.AfterFunc(timeout, func() {
-		silent := timeout >= minSilence && c.received.receipts.Load() == receipts
+	t := time.AfterFunc(limits.firstSilence, func() {
+		silent := limits.firstSilence >= minSilence && c.received.receipts.Load() == receipts
 		if silent || !sent.Load() {
 			p.discard(addr, c)
 		}
@@ -338,13 +352,15 @@
 	decoded := reflect.New(reflect.TypeOf(reply).Elem())
 	call := c.client.Go(ServiceName+"."+method, args, decoded.Interface(), make(chan *rpc.Call, 1))
 	sent.Store(true)
+	answered := true
 	select {
 	case <-call.Done:
-		if call.Error == nil {
-			reflect.ValueOf(reply).Elem().Set(decoded.Elem())
-			return false, nil
-		}
 	case <-expired:
+		answered = p.awaitArriving(c, addr, call, limits, receipts)
+	}
+	if answered && call.Error == nil {
+		reflect.ValueOf(reply).Elem().Set(decoded.Elem())
+		return false, nil
 	}
 	if !t.Stop() {
 		return false, fault.New(fault.PeerSilent, "no answer to "+method+" from "+addr).WithUnknownExecution()
@@ -356,6 +372,29 @@
 	return closed, fault.Wrap(fault.PeerLost, call.Error, method+" at "+addr).WithUnknownExecution()
 }
 
+// awaitArriving waits for the reply to a call while data arrives on the connection, as long as
+// the limits allow, and reports whether the reply came. receipts is their number before the wait.
+func (p *Pool) awaitArriving(c *pooledConn, addr string, call *rpc.Call, limits callLimits, receipts int64) bool {
+	for {
+		now := c.received.receipts.Load()
+		wait := min(limits.silence, time.Until(limits.deadline))
+		if now == receipts || wait <= 0 {
+			return false
+		}
+		receipts = now
+		t := time.NewTimer(wait)
+		select {
+		case <-call.Done:
+			t.Stop()
+			return true
+		case <-t.C:
+			if limits.silence >= minSilence && c.received.receipts.Load() == receipts {
+				p.discard(addr, c)
+			}
+		}
+	}
+}
+
 // acquire returns a connection to addr, dialled if there is none; reused reports
 // whether it was in the pool.
 func (p *Pool) acquire(addr string, timeout time.Duration) (c *pooledConn, reused bool, err error) {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -210,6 +210,73 @@
 	g.Expect(fetch()).To(gomega.Succeed())
 }
 
+// trickleConn delivers a byte at a time, with a pause before each chunk of chunkBytes.
+type trickleConn struct {
+	net.Conn
+	pause time.Duration
+	read  int
+}
+
+// Read implements net.Conn.
+func (c *trickleConn) Read(p []byte) (int, error) {
+	const chunkBytes = 40
+	if c.read%chunkBytes == 0 {
+		time.Sleep(c.pause)
+	}
+	c.read++
+	return c.Conn.Read(p[:1])
+}
+
+// Guards against a reply that is given up while it arrives over a slow link, and sent again as a
+// whole.
+func TestCallWaitsWhileTheReplyArrives(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := startServer(g, "127.0.0.1:0")
+	defer server.stop()
+	const pause, silence = 50 * time.Millisecond, 150 * time.Millisecond
+	pool := NewPool(&ByteCounter{}, func(addr string, timeout time.Duration) (net.Conn, error) {
+		conn, err := DialTCP(addr, timeout)
+		return &trickleConn{Conn: conn, pause: pause}, err
+	})
+	defer pool.Close()
+	fetch := func(timeout time.Duration) (uint64, error) {
+		var reply FetchReply
+		err := pool.CallWhileArriving(server.ln.Addr().String(), "Fetch", &FetchRequest{Since: 7}, &reply, silence, timeout)
+		return reply.Version, err
+	}
+	began := time.Now()
+	version, err := fetch(10 * time.Second)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(version).To(gomega.Equal(uint64(7)))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically(">", silence), "the reply must take longer than silence")
+}
+
+// A call must end at its time limit even if data keeps arriving, and after a silence even if the
+// reply has begun.
+func TestCallEndsWhileTheReplyArrives(t *testing.T) {
+	g := gomega.NewWithT(t)
+	server := startServer(g, "127.0.0.1:0")
+	defer server.stop()
+	pause := make(chan time.Duration, 2)
+	pool := NewPool(&ByteCounter{}, func(addr string, timeout time.Duration) (net.Conn, error) {
+		conn, err := DialTCP(addr, timeout)
+		return &trickleConn{Conn: conn, pause: <-pause}, err
+	})
+	defer pool.Close()
+	fetch := func(silence, timeout time.Duration) error {
+		return pool.CallWhileArriving(server.ln.Addr().String(), "Fetch", &FetchRequest{}, &FetchReply{}, silence, timeout)
+	}
+	pause <- 50 * time.Millisecond
+	began := time.Now()
+	g.Expect(fault.CodeOf(fetch(120*time.Millisecond, 200*time.Millisecond))).To(gomega.Equal(fault.PeerSilent))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("~", 200*time.Millisecond, 150*time.Millisecond))
+	pool.Close()
+	pause <- 500 * time.Millisecond
+	began = time.Now()
+	g.Expect(fault.CodeOf(fetch(100*time.Millisecond, 10*time.Second))).To(gomega.Equal(fault.PeerSilent))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 5*time.Second))
+}
+
 // Guards against a connection for each of the calls that wait while there is none.
 func TestConcurrentCallsShareOneConnection(t *testing.T) {
 	g := gomega.NewWithT(t)
