Fetch settings from several nodes when a reply is slow, the latest heard first

What callers saw: requests handled by settings over two seconds old, at nodes that had heard of newer ones. Cause: one fetch at a time, from the nodes that announced a version in the order in which they did; each that no longer responds cost 0.3 to 2 s, and all hints of nodes that do waited. Class: waiting for one peer of many that can answer.

Change: package fetch decides, purely, from whom to fetch, when and for how long: a node that replied before first, then the one heard from last; another after 0.1 s without a reply, three at most; a node that failed and was not heard from since waits. The discovery scenarios use the same scheduler in place of a call with one time limit.

TestSettingsFetchTimeoutGrowsAfterFailures is replaced by fetch: TestSilenceGrowsAfterFailures, which asks for each step, not four of them: the time that doubles is now that in which nothing arrives. TestSettingsReachAllNodesAfter*: all bounds as before.

--- a/discovery/sim_test.go
+++ b/discovery/sim_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/umberthread/umberthread/fetch"
 	"github.com/umberthread/umberthread/gossip"
 	"github.com/umberthread/umberthread/member"
 )
@@ -24,8 +25,6 @@
 	simMaxRequesters    = 6
 	// simExchangeTimeout bounds an exchange between failure domains.
 	simExchangeTimeout = 600 * time.Millisecond
-	// simFetchTimeout bounds a fetch of settings.
-	simFetchTimeout = 300 * time.Millisecond
 )
 
 // simEvent is a function to run at a virtual time. seq orders events of the same time.
@@ -61,6 +60,8 @@
 	// unreachable are the addresses cut off from all others, and isolatedDomains the
 	// failure domains cut off from the others.
 	unreachable, isolatedDomains map[string]bool
+	// frozen are the addresses of suspended processes.
+	frozen map[string]bool
 	// syncsStarted counts the syncs started by schedulers.
 	syncsStarted int
 }
@@ -73,16 +74,20 @@
 	gossip           *gossip.Core
 	scheduler        *Scheduler
 	settingsVersion  int
-	fetching         bool
-	members          map[string]gossip.Member
-	links            map[string]member.Link
-	domainAddrs      map[string]string
-	requesters       map[string][]string
-	nextSyncAt       time.Duration
+	fetcher          *fetch.Scheduler
+	// activated is called when the process activates a version of the settings.
+	activated func(version int)
+	// suspended are the events that wait until the process is resumed.
+	suspended   []func()
+	members     map[string]gossip.Member
+	links       map[string]member.Link
+	domainAddrs map[string]string
+	requesters  map[string][]string
+	nextSyncAt  time.Duration
 }
 
 func newSimCluster(seed uint64) *simCluster {
-	return &simCluster{rng: rand.New(rand.NewPCG(seed, 11)), processes: map[string]*simProcess{}, unreachable: map[string]bool{}, isolatedDomains: map[string]bool{}}
+	return &simCluster{rng: rand.New(rand.NewPCG(seed, 11)), processes: map[string]*simProcess{}, unreachable: map[string]bool{}, isolatedDomains: map[string]bool{}, frozen: map[string]bool{}}
 }
 
 // after schedules a function to run after a delay.
@@ -110,6 +115,7 @@
 	f.seq++
 	p := &simProcess{
 		cluster: f, id: fmt.Sprintf("%s#%d", addr, f.seq), addr: addr, domain: domain, started: f.now, settingsVersion: version,
+		fetcher: fetch.New(), activated: func(int) {},
 		members: map[string]gossip.Member{}, links: map[string]member.Link{}, domainAddrs: map[string]string{}, requesters: map[string][]string{},
 	}
 	p.gossip = gossip.New(gossip.Member{ID: p.id, Addr: addr}, gossip.Options{
@@ -135,7 +141,7 @@
 
 // reachablePeer returns the process at an address, or nil if none can be reached there.
 func (p *simProcess) reachablePeer(addr string) *simProcess {
-	if p.cluster.unreachable[p.addr] || p.cluster.unreachable[addr] {
+	if p.cluster.unreachable[p.addr] || p.cluster.unreachable[addr] || p.cluster.frozen[addr] {
 		return nil
 	}
 	q := p.cluster.processes[addr]
@@ -159,13 +165,37 @@
 	})
 }
 
-// ifRunning calls a function unless the process has been stopped.
+// ifRunning calls a function unless the process has been stopped, and once it is resumed if it
+// is suspended.
 func (p *simProcess) ifRunning(run func()) {
-	if p.running() {
+	switch {
+	case !p.running():
+	case p.cluster.frozen[p.addr]:
+		p.suspended = append(p.suspended, run)
+	default:
 		run()
 	}
 }
 
+// freeze suspends the process at an address for a while, and then calls resumed. Messages to it
+// are lost meanwhile.
+func (f *simCluster) freeze(addr string, d time.Duration, resumed func()) {
+	p := f.processes[addr]
+	if p == nil || f.frozen[addr] {
+		return
+	}
+	f.frozen[addr] = true
+	f.after(d, func() {
+		delete(f.frozen, addr)
+		resumed()
+		waiting := p.suspended
+		p.suspended = nil
+		for _, run := range waiting {
+			p.ifRunning(run)
+		}
+	})
+}
+
 // isReplica reports whether an address is that of a settings replica.
 func isReplica(addr string) bool { return strings.HasSuffix(addr, "/replica") }
 
@@ -248,15 +278,33 @@
 
 // fetchNewerSettings fetches the settings from a node if its version is newer.
 func (p *simProcess) fetchNewerSettings(addr string, version int) {
-	if version <= p.settingsVersion || p.fetching {
+	if version <= p.settingsVersion {
 		return
 	}
-	p.fetching = true
-	got := 0
-	p.call(addr, simFetchTimeout, func(q *simProcess) { got = q.settingsVersion }, func() {
-		p.fetching = false
-		p.applySettings(got)
-	}, func() { p.fetching = false })
+	p.fetcher.Observe(p.uptime(), addr, uint64(version))
+	p.runFetches()
+}
+
+// runFetches starts the fetches of settings that are due.
+func (p *simProcess) runFetches() {
+	for {
+		f, ok, wait := p.fetcher.Next(p.uptime(), uint64(p.settingsVersion))
+		if !ok {
+			if wait > 0 {
+				p.cluster.after(wait, func() { p.ifRunning(p.runFetches) })
+			}
+			return
+		}
+		got := 0
+		p.call(f.Addr, f.Silence, func(q *simProcess) { got = q.settingsVersion }, func() {
+			p.applySettings(got)
+			p.fetcher.RecordReply(f.Addr, uint64(got))
+			p.runFetches()
+		}, func() {
+			p.fetcher.RecordFailure(f.Addr)
+			p.runFetches()
+		})
+	}
 }
 
 // applySettings activates a newer version of the settings and announces it.
@@ -265,6 +313,7 @@
 		return
 	}
 	p.settingsVersion = version
+	p.activated(version)
 	p.gossip.PingRandom(simUrgentPings)
 	p.processGossipOutput()
 	p.exchangeAll()
--- /dev/null
+++ b/fetch/scheduler_test.go
@@ -0,0 +1,171 @@
+package fetch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// start returns the address of the fetch that must start now.
+func start(g *gomega.WithT, s *Scheduler, now time.Duration, active uint64) string {
+	f, ok, _ := s.Next(now, active)
+	g.Expect(ok).To(gomega.BeTrue())
+	return f.Addr
+}
+
+// expectWait checks that no fetch is due now, but one after a time.
+func expectWait(g *gomega.WithT, s *Scheduler, now time.Duration, active uint64, wait time.Duration) {
+	_, ok, w := s.Next(now, active)
+	g.Expect(ok).To(gomega.BeFalse())
+	g.Expect(w).To(gomega.Equal(wait))
+}
+
+// The node heard from last must be asked first: those heard from earlier may be gone since.
+func TestNodeHeardLastIsAskedFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.Observe(1*time.Second, "a", 5)
+	s.Observe(2*time.Second, "b", 5)
+	s.Observe(2*time.Second, "current", 4)
+	s.Observe(3*time.Second, "a", 5)
+	g.Expect(start(g, s, 3*time.Second, 4)).To(gomega.Equal("a"))
+	s.RecordReply("a", 5)
+	expectWait(g, s, 4*time.Second, 5, 0)
+}
+
+// A node that has replied before must be asked before others, as the connection to it is open.
+func TestNodeThatRepliedIsAskedFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.Observe(0, "a", 5)
+	g.Expect(start(g, s, 0, 4)).To(gomega.Equal("a"))
+	s.RecordReply("a", 5)
+	s.Observe(1, "a", 6)
+	s.Observe(2, "b", 6)
+	g.Expect(start(g, s, 3, 5)).To(gomega.Equal("a"))
+	s.RecordFailure("a")
+	s.Observe(4, "a", 6)
+	s.Observe(5, "b", 6)
+	g.Expect(start(g, s, 6, 5)).To(gomega.Equal("b"), "a has failed since")
+}
+
+// While a reply is outstanding, another node must be asked after hedgeDelay, later the more are
+// outstanding, and at most maxPending.
+func TestOutstandingFetchIsHedged(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	for i := range 5 {
+		s.Observe(0, fmt.Sprint(i), 5)
+	}
+	g.Expect(start(g, s, 0, 4)).To(gomega.Equal("0"))
+	expectWait(g, s, 0, 4, hedgeDelay)
+	g.Expect(start(g, s, hedgeDelay, 4)).To(gomega.Equal("1"))
+	expectWait(g, s, hedgeDelay, 4, 2*hedgeDelay)
+	expectWait(g, s, 2*hedgeDelay, 4, hedgeDelay)
+	g.Expect(start(g, s, 3*hedgeDelay, 4)).To(gomega.Equal("2"))
+	expectWait(g, s, time.Hour, 4, 0)
+	s.RecordReply("1", 5)
+	expectWait(g, s, time.Hour, 5, 0)
+}
+
+// A node that failed must not be asked again before retryDelay unless it is heard from, and
+// never while a fetch from it is in progress.
+func TestSilentNodeIsAskedLater(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.Observe(0, "a", 5)
+	g.Expect(start(g, s, 0, 4)).To(gomega.Equal("a"))
+	s.Observe(10*time.Millisecond, "a", 6)
+	expectWait(g, s, time.Second, 4, 0)
+	s.RecordFailure("a")
+	g.Expect(start(g, s, time.Second, 4)).To(gomega.Equal("a"), "it was heard from meanwhile")
+	s.RecordFailure("a")
+	expectWait(g, s, time.Second, 4, retryDelay)
+	s.Observe(time.Second, "b", 5)
+	g.Expect(start(g, s, time.Second, 4)).To(gomega.Equal("b"))
+	s.RecordFailure("b")
+	s.Observe(time.Second+1, "a", 6)
+	g.Expect(start(g, s, time.Second+1, 4)).To(gomega.Equal("a"))
+}
+
+// A node that was restarted with older settings than it had announced must not be asked again and
+// again.
+func TestRestartedNodeIsNotAskedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.Observe(0, "a", 5)
+	g.Expect(start(g, s, 0, 3)).To(gomega.Equal("a"))
+	s.RecordReply("a", 3)
+	expectWait(g, s, time.Millisecond, 3, 0)
+}
+
+func TestSilenceGrowsAfterFailures(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	var silences []time.Duration
+	for i := range 8 {
+		s.Observe(0, fmt.Sprint(i), 5)
+		f, ok, _ := s.Next(0, 4)
+		g.Expect(ok).To(gomega.BeTrue())
+		silences = append(silences, f.Silence)
+		s.RecordFailure(f.Addr)
+	}
+	const ms = time.Millisecond
+	g.Expect(silences).To(gomega.Equal([]time.Duration{300 * ms, 300 * ms, 600 * ms, 600 * ms, 1200 * ms, 1200 * ms, maxSilence, maxSilence}))
+	s.Observe(0, "8", 5)
+	g.Expect(start(g, s, 0, 4)).To(gomega.Equal("8"))
+	s.RecordReply("8", 5)
+	s.Observe(0, "9", 6)
+	f, _, _ := s.Next(0, 5)
+	g.Expect(f.Silence).To(gomega.Equal(initialSilence))
+}
+
+// A random sequence of events must keep the bounds: no node is asked twice at a time, sources
+// and fetches in progress are bounded, and a source that may be asked is asked in the end.
+func TestRandomEventsKeepBounds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rng := rand.New(rand.NewPCG(1, 3))
+	for range 200 {
+		s, active, now := New(), uint64(0), time.Duration(0)
+		var pending []string
+		for range 400 {
+			now += time.Duration(rng.Int64N(int64(50 * time.Millisecond)))
+			switch {
+			case rng.IntN(3) == 0:
+				s.Observe(now, fmt.Sprint(rng.IntN(100)), active+uint64(rng.IntN(3)))
+			case rng.IntN(3) == 0 && len(pending) > 0:
+				i := rng.IntN(len(pending))
+				addr := pending[i]
+				pending = slices.Delete(pending, i, i+1)
+				if rng.IntN(4) == 0 {
+					active++
+					s.RecordReply(addr, active)
+				} else {
+					s.RecordFailure(addr)
+				}
+			}
+			for {
+				f, ok, wait := s.Next(now, active)
+				if !ok {
+					g.Expect(wait).To(gomega.BeNumerically(">=", 0))
+					break
+				}
+				g.Expect(pending).NotTo(gomega.ContainElement(f.Addr))
+				pending = append(pending, f.Addr)
+				g.Expect(len(pending)).To(gomega.BeNumerically("<=", maxPending))
+			}
+			g.Expect(s.pending).To(gomega.Equal(len(pending)))
+			g.Expect(len(s.sources)).To(gomega.BeNumerically("<=", maxSources))
+		}
+		for _, addr := range pending {
+			s.RecordFailure(addr)
+		}
+		s.Observe(now, "last", active+1)
+		_, ok, _ := s.Next(now, active)
+		g.Expect(ok).To(gomega.BeTrue())
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,16 +27,8 @@
 // emptyConfig returns version 0, which has no entries.
 func emptyConfig() *config { return &config{tree: settings.Empty, entries: settings.Entries{}} }
 
-const (
-	// maxKeptChanges is how many changes a node keeps for others.
-	maxKeptChanges = 256
-	// initialFetchTimeout bounds the first attempts to fetch settings. It is short
-	// because the other node may be gone and the next hint follows soon.
-	initialFetchTimeout = 300 * time.Millisecond
-	// maxFetchTimeout bounds a fetch after repeated failures, for large documents
-	// over slow links.
-	maxFetchTimeout = 2 * time.Second
-)
+// maxKeptChanges is how many changes a node keeps for others.
+const maxKeptChanges = 256
 
 // applyChanges activates accepted changes in order. It skips those that do not
 // directly follow the active version, so the version never decreases.
@@ -122,30 +114,6 @@
 	n.recordEvent("config", text)
 }
 
-// fetchTimeoutAfter returns the timeout of a fetch after a number of consecutive
-// failures.
-func fetchTimeoutAfter(failed int) time.Duration {
-	const tries = 2
-	return min(maxFetchTimeout, initialFetchTimeout<<min(failed/tries, 8))
-}
-
-// fetchConfig fetches and activates the version of the node at addr.
-func (n *Node) fetchConfig(addr string, timeout time.Duration) error {
-	var reply control.FetchReply
-	req := control.FetchRequest{Since: n.conf.Load().version}
-	n.versions.fetches.Add(1)
-	if err := n.control.pool.Call(addr, "Fetch", &req, &reply, timeout); err != nil {
-		n.versions.failedFetches.Add(1)
-		return err
-	}
-	if reply.Full != nil {
-		n.applyDocument(reply.Version, reply.Full)
-		return nil
-	}
-	n.applyChanges(reply.Changes)
-	return nil
-}
-
 // configChangesSince returns what a node with an older version needs: the changes
 // since, or the whole document if not all of them are kept.
 func (n *Node) configChangesSince(since uint64) control.FetchReply {
--- a/internal/node/config_fetch_test.go
+++ b/internal/node/config_fetch_test.go
@@ -49,14 +49,6 @@
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", settingsDeadline))
 }
 
-func TestSettingsFetchTimeoutGrowsAfterFailures(t *testing.T) {
-	g := gomega.NewWithT(t)
-	g.Expect(fetchTimeoutAfter(0)).To(gomega.Equal(initialFetchTimeout))
-	g.Expect(fetchTimeoutAfter(1)).To(gomega.Equal(initialFetchTimeout))
-	g.Expect(fetchTimeoutAfter(2)).To(gomega.Equal(2 * initialFetchTimeout))
-	g.Expect(fetchTimeoutAfter(100)).To(gomega.Equal(maxFetchTimeout))
-}
-
 // Guards against a sync that only updates the sender: the receiver must fetch newer settings
 // of the sender at once.
 func TestSyncTellsReceiverOfNewerSettings(t *testing.T) {
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -45,12 +45,6 @@
 	packet gossip.Packet
 }
 
-// configHint names a node that has a newer version of the settings.
-type configHint struct {
-	addr    string
-	version uint64
-}
-
 // gossiper runs the gossip core. One goroutine owns the core; others read
 // datagrams, sync records with other nodes and fetch settings.
 type gossiper struct {
@@ -248,27 +242,6 @@
 	}
 }
 
-// fetchLoop fetches newer settings from the nodes that have them.
-func (g *gossiper) fetchLoop() {
-	failed := 0
-	for {
-		select {
-		case <-g.node.stop:
-			return
-		case hint := <-g.configHints.C():
-			if hint.version <= g.node.conf.Load().version {
-				continue
-			}
-			if err := g.node.fetchConfig(hint.addr, fetchTimeoutAfter(failed)); err != nil {
-				failed++
-				g.node.warn("config", "Cannot fetch settings.", "from", hint.addr, "err", err)
-				continue
-			}
-			failed = 0
-		}
-	}
-}
-
 // runOnCore runs f on the core's goroutine and waits for it. It returns false if
 // the node stops first.
 func (g *gossiper) runOnCore(f func()) bool {
