Send the whole document to a node that is behind, where that is smaller than the changes

What callers saw: requests handled by settings up to 6.7 s old at nodes with a link of 1 Mbit/s, which had heard of newer ones.

TestManyChangesAreFetchedAsDocument failed before.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -115,7 +115,7 @@
 }
 
 // configChangesSince returns what a node with an older version needs: the changes
-// since, or the whole document if not all of them are kept.
+// since, or the whole document if that is smaller or not all of them are kept.
 func (n *Node) configChangesSince(since uint64) control.FetchReply {
 	cur := n.conf.Load()
 	r := control.FetchReply{Version: cur.version}
@@ -123,14 +123,39 @@
 		return r
 	}
 	behind := cur.version - since
-	if behind <= uint64(len(cur.changes)) {
-		r.Changes = cur.changes[uint64(len(cur.changes))-behind:]
+	if behind > uint64(len(cur.changes)) {
+		r.Full = cur.entries
 		return r
 	}
-	r.Full = cur.entries
+	r.Changes = cur.changes[uint64(len(cur.changes))-behind:]
+	if behind > 1 && changesSize(r.Changes) > entriesSize(cur.entries) {
+		// Changes that overwrite each other would take longer over a slow link.
+		r.Changes, r.Full = nil, cur.entries
+	}
 	return r
 }
 
+// entriesSize returns the approximate size of a document in bytes.
+func entriesSize(entries settings.Entries) int {
+	size := 0
+	for id, v := range entries {
+		size += len(id) + len(v)
+	}
+	return size
+}
+
+// changesSize returns the approximate size of changes in bytes.
+func changesSize(changes []confstore.Change) int {
+	size := 0
+	for _, c := range changes {
+		size += entriesSize(c.Patch.Set)
+		for _, id := range c.Patch.Remove {
+			size += len(id)
+		}
+	}
+	return size
+}
+
 // awaitConfig delays the start until this node has joined and has the highest
 // version of the settings that it knows of. After Options.StartWait the node serves
 // with the settings that it has.
--- a/internal/node/config_fetch_test.go
+++ b/internal/node/config_fetch_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/umberthread/umberthread/confstore"
 	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/settings"
 )
@@ -60,3 +61,22 @@
 	g.Expect((&controlAPI{old.Node}).Sync(req, &reply)).To(gomega.Succeed())
 	g.Eventually(func() uint64 { return old.conf.Load().version }, 5*time.Second, 5*time.Millisecond).Should(gomega.Equal(uint64(7)))
 }
+
+// Guards against a reply of many changes that overwrite each other, which does not arrive in time
+// over a slow link.
+func TestManyChangesAreFetchedAsDocument(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startNode(t, "a", nil, nil)
+	const changes = 40
+	var cs []confstore.Change
+	for v := range uint64(changes) {
+		cs = append(cs, confstore.Change{Version: v + 1, Patch: settings.Patch{Set: settings.Entries{"#deadline": "4s"}}})
+	}
+	n.applyChanges(cs)
+	one := n.configChangesSince(changes - 1)
+	g.Expect(one.Changes).To(gomega.HaveLen(1))
+	all := n.configChangesSince(0)
+	g.Expect(all.Version).To(gomega.Equal(uint64(changes)))
+	g.Expect(all.Changes).To(gomega.BeEmpty())
+	g.Expect(all.Full).To(gomega.Equal(n.conf.Load().entries))
+}
