fetch: hedge by the latency of the last replies

Asking another node after 0.1 s makes slow replies slower where the node's own link is full. The pause follows four mean latencies now, 0.1 s at least. TestSlowRepliesAreHedgedLater.

--- a/discovery/sim_test.go
+++ b/discovery/sim_test.go
@@ -298,7 +298,7 @@
 		got := 0
 		p.call(f.Addr, f.Silence, func(q *simProcess) { got = q.settingsVersion }, func() {
 			p.applySettings(got)
-			p.fetcher.RecordReply(f.Addr, uint64(got))
+			p.fetcher.RecordReply(p.uptime(), f.Addr, uint64(got))
 			p.runFetches()
 		}, func() {
 			p.fetcher.RecordFailure(f.Addr)
--- a/fetch/scheduler.go
+++ b/fetch/scheduler.go
@@ -3,9 +3,14 @@
 import "time"
 
 const (
-	// hedgeDelay is the time without a reply after which another node is asked as well. It
-	// exceeds the usual round trip between failure domains many times.
-	hedgeDelay = 100 * time.Millisecond
+	// minHedgeDelay is the time without a reply after which another node is asked as well, at
+	// the earliest. It exceeds the usual round trip between failure domains many times.
+	minHedgeDelay = 100 * time.Millisecond
+	// hedgeLatencies is the same in mean latencies of the last replies: where all replies are
+	// slow, as over a full link, further ones would only slow them more.
+	hedgeLatencies = 4
+	// latencyWeight is the weight of the latest reply in the mean latency.
+	latencyWeight = 0.25
 	// initialSilence is for how long nothing may arrive in the first fetches. It is short so that
 	// a connection that has gone silent is replaced soon.
 	initialSilence = 300 * time.Millisecond
@@ -50,6 +55,8 @@
 	// pending is the number of fetches in progress, and lastStart when the latest one began.
 	pending   int
 	lastStart time.Duration
+	// latency is the mean latency of the last replies.
+	latency time.Duration
 	// failures counts the consecutive failures of any nodes.
 	failures int
 }
@@ -145,7 +152,7 @@
 	if s.pending == 0 {
 		return 0
 	}
-	return s.lastStart + hedgeDelay*time.Duration(s.pending)
+	return s.lastStart + max(minHedgeDelay, hedgeLatencies*s.latency)*time.Duration(s.pending)
 }
 
 // silence returns for how long nothing may arrive in the next fetch.
@@ -156,10 +163,15 @@
 
 // RecordReply records that the node at addr replied to a fetch with all up to a version, which is
 // older than the announced one if the node has been restarted.
-func (s *Scheduler) RecordReply(addr string, version uint64) {
+func (s *Scheduler) RecordReply(now time.Duration, addr string, version uint64) {
 	s.end(addr, false)
 	s.failures = 0
-	if src := s.sources[addr]; src != nil && src.heardAt <= src.startedAt {
+	src := s.sources[addr]
+	if src == nil {
+		return
+	}
+	s.latency += time.Duration(latencyWeight * float64(now-src.startedAt-s.latency))
+	if src.heardAt <= src.startedAt {
 		src.version = version
 	}
 }
--- a/fetch/scheduler_test.go
+++ b/fetch/scheduler_test.go
@@ -33,7 +33,7 @@
 	s.Observe(2*time.Second, "current", 4)
 	s.Observe(3*time.Second, "a", 5)
 	g.Expect(start(g, s, 3*time.Second, 4)).To(gomega.Equal("a"))
-	s.RecordReply("a", 5)
+	s.RecordReply(3*time.Second, "a", 5)
 	expectWait(g, s, 4*time.Second, 5, 0)
 }
 
@@ -43,7 +43,7 @@
 	s := New()
 	s.Observe(0, "a", 5)
 	g.Expect(start(g, s, 0, 4)).To(gomega.Equal("a"))
-	s.RecordReply("a", 5)
+	s.RecordReply(0, "a", 5)
 	s.Observe(1, "a", 6)
 	s.Observe(2, "b", 6)
 	g.Expect(start(g, s, 3, 5)).To(gomega.Equal("a"))
@@ -53,7 +53,7 @@
 	g.Expect(start(g, s, 6, 5)).To(gomega.Equal("b"), "a has failed since")
 }
 
-// While a reply is outstanding, another node must be asked after hedgeDelay, later the more are
+// While a reply is outstanding, another node must be asked after minHedgeDelay, later the more are
 // outstanding, and at most maxPending.
 func TestOutstandingFetchIsHedged(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -62,16 +62,37 @@
 		s.Observe(0, fmt.Sprint(i), 5)
 	}
 	g.Expect(start(g, s, 0, 4)).To(gomega.Equal("0"))
-	expectWait(g, s, 0, 4, hedgeDelay)
-	g.Expect(start(g, s, hedgeDelay, 4)).To(gomega.Equal("1"))
-	expectWait(g, s, hedgeDelay, 4, 2*hedgeDelay)
-	expectWait(g, s, 2*hedgeDelay, 4, hedgeDelay)
-	g.Expect(start(g, s, 3*hedgeDelay, 4)).To(gomega.Equal("2"))
+	expectWait(g, s, 0, 4, minHedgeDelay)
+	g.Expect(start(g, s, minHedgeDelay, 4)).To(gomega.Equal("1"))
+	expectWait(g, s, minHedgeDelay, 4, 2*minHedgeDelay)
+	expectWait(g, s, 2*minHedgeDelay, 4, minHedgeDelay)
+	g.Expect(start(g, s, 3*minHedgeDelay, 4)).To(gomega.Equal("2"))
 	expectWait(g, s, time.Hour, 4, 0)
-	s.RecordReply("1", 5)
+	s.RecordReply(3*minHedgeDelay, "1", 5)
 	expectWait(g, s, time.Hour, 5, 0)
 }
 
+// Where all replies are slow, another node must be asked later.
+func TestSlowRepliesAreHedgedLater(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, now, active := New(), time.Duration(0), uint64(1)
+	for range 40 {
+		s.Observe(now, "a", active+1)
+		g.Expect(start(g, s, now, active)).To(gomega.Equal("a"))
+		now += 200 * time.Millisecond
+		active++
+		s.RecordReply(now, "a", active)
+	}
+	s.Observe(now, "a", active+1)
+	s.Observe(now, "b", active+1)
+	g.Expect(start(g, s, now, active)).To(gomega.Equal("a"))
+	_, ok, wait := s.Next(now, active)
+	g.Expect(ok).To(gomega.BeFalse())
+	g.Expect(wait).To(gomega.BeNumerically("~", hedgeLatencies*200*time.Millisecond, 5*time.Millisecond))
+	s.RecordFailure("a")
+	g.Expect(start(g, s, now, active)).To(gomega.Equal("b"))
+}
+
 // A node that failed must not be asked again before retryDelay unless it is heard from, and
 // never while a fetch from it is in progress.
 func TestSilentNodeIsAskedLater(t *testing.T) {
@@ -99,7 +120,7 @@
 	s := New()
 	s.Observe(0, "a", 5)
 	g.Expect(start(g, s, 0, 3)).To(gomega.Equal("a"))
-	s.RecordReply("a", 3)
+	s.RecordReply(0, "a", 3)
 	expectWait(g, s, time.Millisecond, 3, 0)
 }
 
@@ -118,7 +139,7 @@
 	g.Expect(silences).To(gomega.Equal([]time.Duration{300 * ms, 300 * ms, 600 * ms, 600 * ms, 1200 * ms, 1200 * ms, maxSilence, maxSilence}))
 	s.Observe(0, "8", 5)
 	g.Expect(start(g, s, 0, 4)).To(gomega.Equal("8"))
-	s.RecordReply("8", 5)
+	s.RecordReply(0, "8", 5)
 	s.Observe(0, "9", 6)
 	f, _, _ := s.Next(0, 5)
 	g.Expect(f.Silence).To(gomega.Equal(initialSilence))
@@ -143,7 +164,7 @@
 				pending = slices.Delete(pending, i, i+1)
 				if rng.IntN(4) == 0 {
 					active++
-					s.RecordReply(addr, active)
+					s.RecordReply(now, addr, active)
 				} else {
 					s.RecordFailure(addr)
 				}
--- a/internal/node/config_fetch.go
+++ b/internal/node/config_fetch.go
@@ -70,7 +70,7 @@
 		g.node.warn("config", "Cannot fetch settings.", "from", r.addr, "err", r.err)
 		return
 	}
-	scheduler.RecordReply(r.addr, r.version)
+	scheduler.RecordReply(g.node.clock(), r.addr, r.version)
 }
 
 // fetchConfig fetches and activates the version of a node, and returns it.
