discovery: a node that knows no replica looks for one within 0.6 s, whatever members it counts

What callers would see: settings late on the few nodes left in a failure domain after all replicas returned. Cause: each member waits as many times longer for its next probe as it counts members, and counts those that have vanished unnoticed. Class: a share of common work that relies on others doing theirs.

Lost members and replicas are probed at paces of their own now, in place of by turns.

--- a/discovery/core.go
+++ b/discovery/core.go
@@ -43,6 +43,10 @@
 	// members of a failure domain taken together. It bounds how soon replicas that
 	// return after all were lost are found.
 	domainProbeInterval = 100 * time.Millisecond
+	// maxReplicaProbeInterval bounds the time between two probes of a node for replicas while it
+	// knows none. It counts in a large domain, whose members may share the probes with many
+	// that have vanished unnoticed.
+	maxReplicaProbeInterval = 600 * time.Millisecond
 	// probeTimeout bounds a probe. It allows for several round trips between domains,
 	// and is short as most lost addresses do not answer.
 	probeTimeout = 300 * time.Millisecond
@@ -108,8 +112,9 @@
 
 	roundCount int
 	nextRound  time.Duration
-	probeCount int
-	nextProbe  time.Duration
+	// nextMemberProbe and nextReplicaProbe are when the next lost member, and the next address
+	// where a replica may be, are probed if there are any.
+	nextMemberProbe, nextReplicaProbe time.Duration
 }
 
 // New returns the scheduler of a process that started at time 0 and knows no other node.
@@ -126,13 +131,16 @@
 
 // UpdateView replaces the node's view of the other nodes.
 func (s *Scheduler) UpdateView(now time.Duration, v View) {
-	wasProbing := s.probing()
+	hadLostMembers, soughtReplicas := len(s.lostMemberAddrs()) > 0, len(s.possibleReplicaAddrs()) > 0
 	updateLost(now, s.lostMembers, s.view.Alive, v.Alive)
 	updateLost(now, s.lostReplicas, s.view.Replicas, v.Replicas)
 	s.view = v
-	if !wasProbing {
-		// Members that lose the same node at once probe at different times.
-		s.nextProbe = now + time.Duration(s.opt.Rand.Float64()*float64(s.probeInterval()))
+	// Members that lose the same node at once probe at different times.
+	if !hadLostMembers {
+		s.nextMemberProbe = now + time.Duration(s.opt.Rand.Float64()*float64(s.memberProbeInterval()))
+	}
+	if !soughtReplicas {
+		s.nextReplicaProbe = now + time.Duration(s.opt.Rand.Float64()*float64(s.replicaProbeInterval()))
 	}
 }
 
@@ -156,21 +164,21 @@
 
 // NextDue returns the time at which DueTargets must be called next.
 func (s *Scheduler) NextDue() time.Duration {
-	if s.probing() {
-		return min(s.nextRound, s.nextProbe)
+	next := s.nextRound
+	if len(s.lostMemberAddrs()) > 0 {
+		next = min(next, s.nextMemberProbe)
+	}
+	if len(s.possibleReplicaAddrs()) > 0 {
+		next = min(next, s.nextReplicaProbe)
 	}
-	return s.nextRound
+	return next
 }
 
 // DueTargets returns the addresses to sync with now. The caller must report the result of
 // each by RecordReply or RecordFailure; until then the address is not returned again.
 func (s *Scheduler) DueTargets(now time.Duration) []Target {
 	targets := map[string]time.Duration{}
-	if s.probing() && now >= s.nextProbe {
-		s.addProbeTarget(now, targets)
-		s.nextProbe = now + s.jitter(s.probeInterval(), probeJitter)
-		s.probeCount++
-	}
+	s.addDueProbes(now, targets)
 	if now >= s.nextRound {
 		s.addRoundTargets(now, targets)
 		s.nextRound = now + s.roundInterval(now)
--- a/discovery/lost.go
+++ b/discovery/lost.go
@@ -10,15 +10,28 @@
 // so that the probes of different members are spread in time.
 const probeJitter = 0.5
 
-// probeInterval returns the time between two probes of this node, such that the members
-// of the failure domain together probe once per domainProbeInterval.
-func (s *Scheduler) probeInterval() time.Duration {
+// sharedInterval returns the time between two probes of this node, such that the members of the
+// failure domain together probe once per domainProbeInterval.
+func (s *Scheduler) sharedInterval() time.Duration {
 	return domainProbeInterval * time.Duration(1+len(s.view.Alive))
 }
 
-// probing reports whether there is a lost address to probe.
-func (s *Scheduler) probing() bool {
-	return s.LostAddrCount() > 0
+// memberProbeInterval returns the time between two probes of lost members. They take half of the
+// shared probes while replicas are sought, too.
+func (s *Scheduler) memberProbeInterval() time.Duration {
+	if len(s.possibleReplicaAddrs()) > 0 {
+		return 2 * s.sharedInterval()
+	}
+	return s.sharedInterval()
+}
+
+// replicaProbeInterval returns the time between two probes for replicas.
+func (s *Scheduler) replicaProbeInterval() time.Duration {
+	interval := s.sharedInterval()
+	if len(s.lostMemberAddrs()) > 0 {
+		interval *= 2
+	}
+	return min(interval, maxReplicaProbeInterval)
 }
 
 // expireLost drops the addresses that were lost more than lostRetention ago.
@@ -43,21 +56,27 @@
 	return member || replica || slices.Contains(s.bootstrapAddrs, addr)
 }
 
-// addProbeTarget adds the least recently probed lost address. Lost members and replicas
-// alternate, so that many lost members do not delay the search for replicas.
-func (s *Scheduler) addProbeTarget(now time.Duration, targets map[string]time.Duration) {
+// addDueProbes adds, if they are due, the least recently probed lost member and the least recently
+// probed address where a replica may be. Each has its own pace, so that many lost members do not
+// delay the search for replicas.
+func (s *Scheduler) addDueProbes(now time.Duration, targets map[string]time.Duration) {
 	s.expireLost(now)
-	lists := [2][]string{s.lostMemberAddrs(), s.possibleReplicaAddrs()}
-	first, second := lists[s.probeCount%2], lists[(s.probeCount+1)%2]
-	addr := s.leastRecentlyProbed(first)
-	if addr == "" {
-		addr = s.leastRecentlyProbed(second)
+	if addrs := s.lostMemberAddrs(); len(addrs) > 0 && now >= s.nextMemberProbe {
+		s.addProbe(now, targets, addrs)
+		s.nextMemberProbe = now + s.jitter(s.memberProbeInterval(), probeJitter)
 	}
-	if addr == "" {
-		return
+	if addrs := s.possibleReplicaAddrs(); len(addrs) > 0 && now >= s.nextReplicaProbe {
+		s.addProbe(now, targets, addrs)
+		s.nextReplicaProbe = now + s.jitter(s.replicaProbeInterval(), probeJitter)
+	}
+}
+
+// addProbe adds the least recently probed of some addresses, unless all are being probed.
+func (s *Scheduler) addProbe(now time.Duration, targets map[string]time.Duration, addrs []string) {
+	if addr := s.leastRecentlyProbed(addrs); addr != "" {
+		s.lastProbed[addr] = now
+		targets[addr] = probeTimeout
 	}
-	s.lastProbed[addr] = now
-	targets[addr] = probeTimeout
 }
 
 // lostMemberAddrs returns the addresses of lost members. One that replied, as a leaving
