raft: rejections of appends behind a lost one do not resend the same entries

Each append under way behind a lost one is rejected, and each rejection rewound to the same entry and sent up to 256 entries again. A leader remembers from where and up to which index it resent; rejections in between are those of appends that were overtaken. If the resent entries are lost too, the heartbeats show it, as for any lost append.

--- a/raft/core.go
+++ b/raft/core.go
@@ -33,6 +33,9 @@
 	matchIndex uint64
 	// nextIndex is the index of the next entry to send.
 	nextIndex uint64
+	// resentFrom and resentUpTo are the first index from which entries were last resent, and the
+	// last index that had been sent before.
+	resentFrom, resentUpTo uint64
 	// heartbeatMatchIndex is matchIndex as of the last answered heartbeat round, and
 	// heartbeatNextIndex is nextIndex as of the sending of heartbeatRound, 0 once that round or
 	// a later one is answered.
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -166,8 +166,8 @@
 	}
 	p.snapshotWaitTicks, p.snapshotWaitElections = 0, 0
 	if m.Reject {
-		if m.Index == p.nextIndex-1 || m.Hint+1 < p.nextIndex {
-			p.nextIndex = max(p.matchIndex+1, m.Hint+1)
+		if !p.answersOvertakenAppend(m) && (m.Index == p.nextIndex-1 || m.Hint+1 < p.nextIndex) {
+			p.resendFrom(max(p.matchIndex+1, m.Hint+1))
 			c.sendAppend(m.From, p)
 		}
 		return
@@ -178,6 +178,20 @@
 	}
 }
 
+// resendFrom makes next the index of the next entry to send, which was sent before.
+func (p *progress) resendFrom(next uint64) {
+	p.resentFrom, p.resentUpTo = next, max(p.resentUpTo, p.nextIndex-1)
+	p.nextIndex = next
+}
+
+// answersOvertakenAppend reports whether a rejection is, or may be, that of an append that was
+// under way when the entries before it were resent. Each of those behind a lost append is rejected,
+// and must not have the same entries sent again. If the resent ones are lost as well, heartbeats
+// show it.
+func (p *progress) answersOvertakenAppend(m Message) bool {
+	return m.Index >= p.resentFrom && m.Index <= p.resentUpTo && m.Hint+1 >= p.resentFrom
+}
+
 // recordSaved records the index up to which a replica has persisted the log, and commits
 // what a quorum has persisted.
 func (c *Core) recordSaved(p *progress, index uint64) {
@@ -186,6 +200,9 @@
 	}
 	p.matchIndex = index
 	p.unsavedTicks = 0
+	if index >= p.resentUpTo {
+		p.resentFrom, p.resentUpTo = 0, 0
+	}
 	if t, ok := c.log.term(index); ok && t == c.state.Term {
 		p.savedInTerm, p.savedTicks = true, 0
 	}
@@ -225,10 +242,11 @@
 	if !stuck {
 		return
 	}
-	p.nextIndex = max(p.matchIndex, m.Hint) + 1
+	next := max(p.matchIndex, m.Hint) + 1
 	if p.matchIndex == 0 {
-		p.nextIndex = min(max(m.Index+1, 1), c.log.lastIndex()+1)
+		next = min(max(m.Index+1, 1), c.log.lastIndex()+1)
 	}
+	p.resendFrom(next)
 	c.sendAppend(m.From, p)
 }
 
