--- a/discovery/recovery_test.go
+++ b/discovery/recovery_test.go
@@ -152,7 +152,7 @@
 // formatQuantiles formats quantiles of sorted durations.
 func formatQuantiles(sorted []time.Duration) string {
 	out := fmt.Sprintf("%d recoveries:", len(sorted))
-	for _, q := range []float64{0.5, 0.9, 0.99, 1} {
+	for _, q := range []float64{0.5, 0.9, 0.99, 0.999, 1} {
 		out += fmt.Sprintf(" %g%% %s", 100*q, quantile(sorted, q).Round(time.Millisecond))
 	}
 	return out
