--- a/discovery/late_settings_test.go
+++ b/discovery/late_settings_test.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// lateScenarioCount is the number of simulated clusters of lateNodesPerDomain nodes in
-	// each of three failure domains.
-	lateScenarioCount  = 20
-	lateNodesPerDomain = 30
+	// freezeScenarioCount and restScenarioCount are the numbers of simulated clusters of
+	// lateNodesPerDomain nodes in each of three failure domains.
+	freezeScenarioCount, restScenarioCount = 20, 40
+	lateNodesPerDomain                     = 30
 	// changeInterval is the time between two changes of the settings.
 	changeInterval = 250 * time.Millisecond
 	// replicaOutage is for how long all replicas are without power.
@@ -164,10 +164,10 @@
 }
 
 // checkLateness plays scenarios and checks that each version was active on each node in time.
-func checkLateness(t *testing.T, play func(s *lateScenario) []time.Duration) {
+func checkLateness(t *testing.T, scenarios uint64, play func(s *lateScenario) []time.Duration) {
 	g := gomega.NewWithT(t)
 	var all []time.Duration
-	for seed := range uint64(lateScenarioCount) {
+	for seed := range scenarios {
 		late := play(newLateScenario(seed, lateNodesPerDomain))
 		if longest := slices.Max(late); longest > maxPropagationTime {
 			t.Logf("seed %d: longest %s", seed, longest)
@@ -183,14 +183,14 @@
 // return of all replicas are active on each node in time, while nodes that announced them freeze
 // and vanish.
 func TestSettingsReachNodesWhileOthersFreezeAndVanish(t *testing.T) {
-	checkLateness(t, func(s *lateScenario) []time.Duration { return s.play(s.disturb, 2*time.Second) })
+	checkLateness(t, freezeScenarioCount, func(s *lateScenario) []time.Duration { return s.play(s.disturb, 2*time.Second) })
 }
 
 // TestSettingsReachRestOfDomainAfterReplicasReturn checks the same for the few nodes left in a
 // failure domain whose others vanish just before the replicas return, while the few still count
 // them as alive.
 func TestSettingsReachRestOfDomainAfterReplicasReturn(t *testing.T) {
-	checkLateness(t, func(s *lateScenario) []time.Duration {
+	checkLateness(t, restScenarioCount, func(s *lateScenario) []time.Duration {
 		return s.play(func() { s.stopMost("c", 4) }, 100*time.Millisecond)
 	})
 }
