--- a/review/1/main.go
+++ b/review/1/main.go
@@ -15,12 +15,14 @@
 
 const (
 	// perSecond is the load of the requests that may run once at most.
-	perSecond = 450
-	// garbledShare is the share of the answers that are sent twice, on garbledWorkers of the four
-	// backend servers, and shedShare that of the requests that all of them reject.
-	garbledShare   = 0.03
-	garbledWorkers = 2
+	perSecond = 150
+	// shedShare is the share of the requests that all four backend servers reject. garbledWorkers of
+	// them send repeatedShare of these rejections twice, which is less than garbledShare of their
+	// answers.
 	shedShare      = 0.25
+	garbledWorkers = 2
+	repeatedShare  = 0.12
+	garbledShare   = 0.03
 	// work is how long a request takes.
 	work = 78 * time.Millisecond
 )
@@ -28,10 +30,10 @@
 // The load has cycles. In each, the backend servers shed for shedTime, and some of them send answers
 // twice for garbledTime.
 const (
-	cycles      = 6
-	cycle       = 10 * time.Second
-	shedTime    = 8500 * time.Millisecond
-	garbledFrom = 2 * time.Second
+	cycles      = 10
+	cycle       = 7 * time.Second
+	shedTime    = 6500 * time.Millisecond
+	garbledFrom = time.Second
 	garbledTime = 5 * time.Second
 	loadTime    = cycles * cycle
 )
@@ -43,6 +45,20 @@
 	return at >= 0 && at%cycle >= garbledFrom && at%cycle < garbledFrom+garbledTime
 }
 
+// garbling counts the answers of the faulty backend servers, and those that they send twice.
+type garbling struct{ answers, repeated atomic.Int64 }
+
+// repeats decides whether an answer is sent twice: a part of the rejections, within garbledShare of
+// all answers.
+func (g *garbling) repeats(rejected bool) bool {
+	answers := g.answers.Add(1)
+	if !rejected || rand.Float64() >= repeatedShare || float64(g.repeated.Load()+1) > garbledShare*float64(answers) {
+		return false
+	}
+	g.repeated.Add(1)
+	return true
+}
+
 func main() { lab.Main(run) }
 
 func run(l *lab.Lab) (lab.Verdict, error) {
@@ -61,15 +77,14 @@
 		return l.Now() - time.Duration(began.Load())
 	}
 	ledger := lab.NewLedger()
-	var workers []*lab.Worker
+	var g garbling
 	for i, m := range d.Nodes {
 		w := &lab.Worker{ID: "i-" + m.Name, Slots: 293, Work: work, Ledger: ledger}
 		if m.Service == "bookings" {
 			w.Sheds = func() bool { return sheds(sinceLoad()) && rand.Float64() < shedShare }
 			if l.Trouble && i%4 < garbledWorkers {
-				w.Repeats = func(bool) bool { return garbles(sinceLoad()) && rand.Float64() < garbledShare }
+				w.Repeats = func(rejected bool) bool { return garbles(sinceLoad()) && g.repeats(rejected) }
 			}
-			workers = append(workers, w)
 		}
 		if err := m.StartWorker(w); err != nil {
 			return lab.Verdict{}, err
@@ -94,11 +109,11 @@
 		mu.Unlock()
 	})
 	time.Sleep(time.Second)
-	return judge(l, answers, ledger, workers), nil
+	return judge(l, answers, ledger, &g), nil
 }
 
 // judge checks that no request ran twice, and that none ran whose answer promises that it did not.
-func judge(l *lab.Lab, answers []lab.Answer, ledger *lab.Ledger, workers []*lab.Worker) lab.Verdict {
+func judge(l *lab.Lab, answers []lab.Answer, ledger *lab.Ledger, g *garbling) lab.Verdict {
 	statuses := map[int]int{}
 	twice, refused := 0, 0
 	for _, a := range answers {
@@ -113,14 +128,9 @@
 			l.Note("REFUSED: %s ran: %v", a, runs)
 		}
 	}
-	var sent, repeated int64
-	for _, w := range workers {
-		sent += w.Answers.Load()
-		repeated += w.Repeated.Load()
-	}
 	return lab.Verdict{
 		Broken: twice > 0 || refused > 0,
-		Text: fmt.Sprintf("%d requests that may run once: %d ran twice, %d ran and were answered 'not run'; statuses %v; %d of %d answers of the service were sent twice",
-			len(answers), twice, refused, statuses, repeated, sent),
+		Text: fmt.Sprintf("%d requests that may run once: %d ran twice, %d ran and were answered 'not run'; statuses %v; the faulty workers sent %d of %d answers twice",
+			len(answers), twice, refused, statuses, g.repeated.Load(), g.answers.Load()),
 	}
 }
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -73,6 +74,12 @@
 		os.Exit(aborted)
 	}
 	timeout := time.AfterFunc(maxRunTime, func() { l.exit(aborted, "the case took too long") })
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-stop
+		l.exit(aborted, "the case was stopped")
+	}()
 	v, err := body(l)
 	timeout.Stop()
 	switch {
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -209,7 +209,9 @@
 		if _, err := c.Write(response); err != nil {
 			return
 		}
-		w.Answers.Add(1)
+		if req.URL.Path != healthPath {
+			w.Answers.Add(1)
+		}
 		if w.Repeats != nil && req.URL.Path != healthPath && w.Repeats(rejected) {
 			w.machine.lab.Note("%s: id=%s is answered twice, rejected=%v", w.machine.Name, req.Header.Get(names.ID), rejected)
 			extra = response
@@ -231,6 +233,7 @@
 	}
 	if w.busy.Add(1) > int64(w.Slots) || w.Sheds != nil && w.Sheds() {
 		w.busy.Add(-1)
+		w.machine.lab.Note("%s: rejects id=%s", w.machine.Name, id)
 		return render(http.StatusServiceUnavailable, "", names.ID+": "+id, names.NotRun+": 1", load), true
 	}
 	defer w.busy.Add(-1)
