--- a/review/1/main.go
+++ b/review/1/main.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return lab.Verdict{}, err
 	}
-	if err := d.PutDocument(1, 0, 64<<20); err != nil {
+	if err := d.Put(lab.Document{Version: 1, MaxBody: 64 << 20}); err != nil {
 		return lab.Verdict{}, err
 	}
 	var began atomic.Int64
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return lab.Verdict{}, err
 	}
-	if err := d.PutDocument(1, 0, wideLimit); err != nil {
+	if err := d.Put(lab.Document{Version: 1, MaxBody: wideLimit}); err != nil {
 		return lab.Verdict{}, err
 	}
 	ledger := lab.NewLedger()
@@ -71,7 +71,7 @@
 	begun.Wait()
 	time.Sleep(100 * time.Millisecond)
 	if l.Trouble {
-		if err := d.PutDocument(2, 1, narrowLimit); err != nil {
+		if err := d.Put(lab.Document{Version: 2, Base: 1, MaxBody: narrowLimit}); err != nil {
 			return lab.Verdict{}, err
 		}
 	}
--- a/review/lab/caller.go
+++ b/review/lab/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -87,38 +88,82 @@
 	return false
 }
 
-// PutDocument sends the operator's document until it is acknowledged, to one replica after another.
-func (d *Deployment) PutDocument(version, base int, maxBody int64) error {
+// Document is a desired state.
+type Document struct {
+	Version, Base int
+	// MaxBody is the limit of a body in bytes.
+	MaxBody int64
+	// Routes are the names of further routes, all to Service.
+	Routes  []string
+	Service string
+}
+
+// render returns the document as it is sent.
+func (doc Document) render() ([]byte, error) {
 	t, err := template.ParseFS(files, "document.tmpl")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var b bytes.Buffer
-	if err := t.Execute(&b, map[string]any{"Version": version, "MaxBody": maxBody}); err != nil {
+	err = t.Execute(&b, doc)
+	return b.Bytes(), err
+}
+
+const (
+	putTries = 60
+	putPause = 100 * time.Millisecond
+)
+
+// Put sends a document until it is acknowledged, to one replica after another.
+func (d *Deployment) Put(doc Document) error {
+	body, err := doc.render()
+	if err != nil {
 		return err
 	}
-	client := &http.Client{Timeout: time.Second}
 	last := ""
-	for try := range 60 {
+	for try := range putTries {
 		m := d.Replicas[try%len(d.Replicas)]
-		req, err := http.NewRequest(http.MethodPut, "http://"+m.addr(d.lab.Ports.Control)+"/config", bytes.NewReader(b.Bytes()))
+		req, err := http.NewRequest(http.MethodPut, "http://"+m.addr(d.lab.Ports.Control)+"/config", bytes.NewReader(body))
 		if err != nil {
 			return err
 		}
 		req.Header.Set("Content-Type", "application/json")
-		req.Header.Set("If-Match", fmt.Sprintf("%08x", base))
-		resp, err := client.Do(req)
+		req.Header.Set("If-Match", fmt.Sprintf("%08x", doc.Base))
+		resp, err := operator.Do(req)
 		if err == nil {
 			_ = resp.Body.Close()
 			last = resp.Status
 			if resp.StatusCode == http.StatusOK {
-				d.lab.Note("operator: version %08x acknowledged by %s, at most %d bytes a body", version, m.Name, maxBody)
+				d.lab.Note("operator: version %08x with %d bytes is acknowledged by %s, try %d", doc.Version, len(body), m.Name, try+1)
 				return nil
 			}
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(putPause)
+	}
+	return fmt.Errorf("version %08x was not acknowledged: %s", doc.Version, last)
+}
+
+// operator is the operator's HTTP client.
+var operator = &http.Client{Timeout: time.Second}
+
+// Get reads the desired state at a replica. The version is 0 without an answer that holds one.
+func (d *Deployment) Get(m *Machine) (version int, status string) {
+	resp, err := operator.Get("http://" + m.addr(d.lab.Ports.Control) + "/config")
+	if err != nil {
+		return 0, "no answer"
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var doc struct {
+		Version string `json:"version"`
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&doc) != nil {
+		return 0, resp.Status
+	}
+	v, err := strconv.ParseInt(doc.Version, 16, 64)
+	if err != nil {
+		return 0, "version " + doc.Version
 	}
-	return fmt.Errorf("version %08x was not acknowledged: %s", version, last)
+	return int(v), resp.Status
 }
 
 // AwaitReady waits until all nodes say that they are ready.
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -244,6 +244,32 @@
 // Restart starts a machine's process again, as the platform does after it has ended.
 func (d *Deployment) Restart(m *Machine) error { return m.Start(false, d.seeds()) }
 
+// MemoryMB is the memory limit of the machine's process.
+func (m *Machine) MemoryMB() int {
+	if m.Service == "" {
+		return 280
+	}
+	return 284
+}
+
+// ResidentMB returns how much memory the machine's process has in use, 0 if there is none.
+func (m *Machine) ResidentMB() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.started {
+		return 0
+	}
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", m.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(b), &size, &resident); err != nil {
+		return 0
+	}
+	return float64(resident*int64(os.Getpagesize())) / (1 << 20)
+}
+
 func (m *Machine) addr(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 
 // Start starts the machine's process with its settings file.
@@ -264,7 +290,7 @@
 	var b bytes.Buffer
 	err = t.Execute(&b, map[string]any{
 		"Name": m.Name, "Role": role, "Class": class, "IP": m.IP, "Zone": m.Zone, "Service": m.Service,
-		"Disk": disk, "Ports": l.Ports, "Seeds": seeds, "FirstStart": first,
+		"Disk": disk, "Ports": l.Ports, "Seeds": seeds, "FirstStart": first, "MemoryMB": m.MemoryMB(),
 	})
 	if err != nil {
 		return err
