--- a/review/lab/caller.go
+++ b/review/lab/caller.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -93,9 +92,6 @@
 	Version, Base int
 	// MaxBody is the limit of a body in bytes.
 	MaxBody int64
-	// Routes are the names of further routes, all to Service.
-	Routes  []string
-	Service string
 }
 
 // render returns the document as it is sent.
@@ -146,26 +142,6 @@
 // operator is the operator's HTTP client.
 var operator = &http.Client{Timeout: time.Second}
 
-// Get reads the desired state at a replica. The version is 0 without an answer that holds one.
-func (d *Deployment) Get(m *Machine) (version int, status string) {
-	resp, err := operator.Get("http://" + m.addr(d.lab.Ports.Control) + "/config")
-	if err != nil {
-		return 0, "no answer"
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var doc struct {
-		Version string `json:"version"`
-	}
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&doc) != nil {
-		return 0, resp.Status
-	}
-	v, err := strconv.ParseInt(doc.Version, 16, 64)
-	if err != nil {
-		return 0, "version " + doc.Version
-	}
-	return int(v), resp.Status
-}
-
 // AwaitReady waits until all nodes say that they are ready.
 func (d *Deployment) AwaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -252,24 +252,6 @@
 	return 284
 }
 
-// ResidentMB returns how much memory the machine's process has in use, 0 if there is none.
-func (m *Machine) ResidentMB() float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.started {
-		return 0
-	}
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", m.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	var size, resident int64
-	if _, err := fmt.Sscan(string(b), &size, &resident); err != nil {
-		return 0
-	}
-	return float64(resident*int64(os.Getpagesize())) / (1 << 20)
-}
-
 func (m *Machine) addr(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 
 // Start starts the machine's process with its settings file.
