--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -63,7 +63,10 @@
 	// Repeats reports whether the response just sent, which rejected the request or not, is sent
 	// once more when the next request has arrived on its connection; nil for never.
 	Repeats func(rejected bool) bool
-	Ledger  *Ledger
+	// Stray reports whether a response to a status check is sent when the next request has arrived on
+	// a connection; nil for never.
+	Stray  func() bool
+	Ledger *Ledger
 
 	machine  *Machine
 	ln       net.Listener
@@ -216,18 +219,34 @@
 			w.machine.lab.Note("%s: id=%s is answered twice, rejected=%v", w.machine.Name, req.Header.Get(names.ID), rejected)
 			extra = response
 		}
+		if w.Stray != nil && req.URL.Path != healthPath && w.Stray() {
+			w.machine.lab.Note("%s: a response to a status check follows that to id=%s", w.machine.Name, req.Header.Get(names.ID))
+			extra = w.healthResponse()
+		}
+	}
+}
+
+// healthResponse returns the bytes of the response to a status check.
+func (w *Worker) healthResponse() []byte {
+	status := http.StatusOK
+	if w.leaving.Load() {
+		status = http.StatusServiceUnavailable
 	}
+	return render(status, "", names.Instance+": "+w.ID, w.loadLine())
+}
+
+// loadLine returns the header line that tells the load.
+func (w *Worker) loadLine() string {
+	return fmt.Sprintf("%s: %d,0,%d", names.Load, w.busy.Load(), w.Slots)
 }
 
 // respond runs or rejects a request and returns the bytes of the response.
 func (w *Worker) respond(req *http.Request, body []byte) (response []byte, rejected bool) {
 	id := req.Header.Get(names.ID)
-	load := fmt.Sprintf("%s: %d,0,%d", names.Load, w.busy.Load(), w.Slots)
+	load := w.loadLine()
 	switch {
-	case req.URL.Path == healthPath && w.leaving.Load():
-		return render(http.StatusServiceUnavailable, "", names.Instance+": "+w.ID, load), true
 	case req.URL.Path == healthPath:
-		return render(http.StatusOK, "", names.Instance+": "+w.ID, load), false
+		return w.healthResponse(), w.leaving.Load()
 	case req.Header.Get(names.Expect) != "" && req.Header.Get(names.Expect) != w.ID:
 		return render(http.StatusMisdirectedRequest, "", names.ID+": "+id, names.Instance+": "+w.ID), true
 	}
