--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -102,13 +102,14 @@
 		return nil, err
 	}
 	l := &Lab{Trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), root: os.Getenv("ROOT")}
-	if l.dir, err = os.MkdirTemp("", "review-"); err != nil {
+	if l.record, err = os.Create("record.txt"); err != nil {
 		return nil, err
 	}
-	if l.record, err = os.Create("record.txt"); err != nil {
+	if err := l.choosePorts(); err != nil {
 		return nil, err
 	}
-	return l, l.choosePorts()
+	l.dir, err = os.MkdirTemp("", "review-")
+	return l, err
 }
 
 // choosePorts picks a loopback subnet and ports that are free.
@@ -125,14 +126,27 @@
 	return fmt.Errorf("no free ports")
 }
 
-// isFree reports whether the ports are free at the first address.
+const (
+	// maxMachines is the number of addresses that a case may use.
+	maxMachines = 12
+	// metricsPort is that of the deploy file.
+	metricsPort = 9464
+)
+
+// isFree reports whether the ports are free at all addresses.
 func (l *Lab) isFree() bool {
+	ports := []int{metricsPort}
 	for port := l.Ports.Caller; port <= l.Ports.Last; port++ {
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", l.subnet, port))
-		if err != nil {
-			return false
+		ports = append(ports, port)
+	}
+	for host := 1; host <= maxMachines; host++ {
+		for _, port := range ports {
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.%d:%d", l.subnet, host, port))
+			if err != nil {
+				return false
+			}
+			_ = ln.Close()
 		}
-		_ = ln.Close()
 	}
 	return true
 }
