Each node knows how long ago a quorum confirmed its settings as the newest

A node that hears of no newer version cannot tell a calm time from one in which nobody tells it: config_heard_version equals config_version in both. The age was known where keys are trusted for a time only.

Each gossip packet tells the age of the sender's confirmation; the node takes it from answers to its own pings, counted from before the ping, so that an answer that was delayed does not look young. Nobody asks yet.

TestConfirmationCountsForTheVersionInForce expected no age on a replica that nobody had asked; it has one by itself now, so that the test asks a node without a quorum for -1, and expects under a second after the read.

--- a/gossip/core.go
+++ b/gossip/core.go
@@ -101,6 +101,10 @@
 	// Config is the version of the settings that the sender has. The core does not
 	// interpret it.
 	Config uint64
+	// ConfigAge is how long ago, in milliseconds and at least 1, a quorum of replicas
+	// confirmed that no version was newer than Config, 0 if the sender does not know. The
+	// core does not interpret it.
+	ConfigAge uint32
 }
 
 // OutgoingPacket is a packet to send to an address.
@@ -109,6 +113,15 @@
 	Packet Packet
 }
 
+// Answer is an ack of a ping that the node sent.
+type Answer struct {
+	// Addr is the address to which the ping was sent.
+	Addr string
+	// SentAt is a time before the ping was sent, less than one tick before.
+	SentAt time.Duration
+	Packet Packet
+}
+
 // Event reports a new or changed record. Member is set if the record describes a member.
 type Event struct {
 	Record Record
@@ -127,11 +140,16 @@
 	broadcasts []broadcast
 	outgoing   []OutgoingPacket
 	events     []Event
+	answers    []Answer
 	// urgentChanges counts the changes applied since the last call of
 	// forwardUrgentChanges that affect routing.
 	urgentChanges int
 
-	seq         uint64
+	// now is the time of the last tick or packet.
+	now time.Duration
+	seq uint64
+	// pings are the pings that the node sent for itself and that are not answered.
+	pings       map[uint64]sentPing
 	nextProbeAt time.Duration
 	probe       *activeProbe
 	relays      map[uint64]relay
@@ -154,6 +172,12 @@
 	deadline     time.Duration
 }
 
+// sentPing is a ping that the node sent for itself.
+type sentPing struct {
+	addr string
+	at   time.Duration
+}
+
 // relay is a ping sent on behalf of another member, to which the ack is relayed.
 type relay struct {
 	requesterAddr string
@@ -170,7 +194,7 @@
 // New returns a Core that knows only the node itself.
 func New(self Member, o Options) *Core {
 	self.Status = Alive
-	c := &Core{opt: o, self: self, members: map[string]*memberState{}, store: newStore(), relays: map[uint64]relay{}}
+	c := &Core{opt: o, self: self, members: map[string]*memberState{}, store: newStore(), pings: map[uint64]sentPing{}, relays: map[uint64]relay{}}
 	c.publishSelf()
 	return c
 }
@@ -230,6 +254,16 @@
 	return outs, events
 }
 
+// TakeAnswers returns the acks of the node's pings since the last call.
+func (c *Core) TakeAnswers() []Answer {
+	answers := c.answers
+	c.answers = nil
+	return answers
+}
+
+// Ask pings an address, which need not be that of a member.
+func (c *Core) Ask(addr string) { c.ping(addr) }
+
 // PingRandom pings n random members, so that queued records do not wait for the next
 // probe.
 func (c *Core) PingRandom(n int) {
@@ -243,8 +277,7 @@
 			continue
 		}
 		n--
-		c.seq++
-		c.send(s.Addr, Packet{Kind: Ping, Seq: c.seq})
+		c.ping(s.Addr)
 	}
 }
 
--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 // Tick starts probes and handles timeouts. It must be called several times per
 // ProbeInterval.
 func (c *Core) Tick(now time.Duration) {
+	c.now = now
 	c.checkProbeTimeouts(now)
 	if now >= c.nextProbeAt {
 		c.nextProbeAt = now + c.opt.ProbeInterval
@@ -36,11 +38,19 @@
 			c.removeMember(id)
 		}
 	}
-	for seq, r := range c.relays {
-		if now > r.deadline {
-			delete(c.relays, seq)
-		}
-	}
+	maps.DeleteFunc(c.relays, func(_ uint64, r relay) bool { return now > r.deadline })
+	maps.DeleteFunc(c.pings, func(_ uint64, p sentPing) bool { return now-p.at > pingMemory })
+}
+
+// pingMemory is how long a ping may take to be answered.
+const pingMemory = 2 * time.Second
+
+// ping sends a ping for this node and returns its sequence number.
+func (c *Core) ping(addr string) uint64 {
+	c.seq++
+	c.pings[c.seq] = sentPing{addr, c.now}
+	c.send(addr, Packet{Kind: Ping, Seq: c.seq})
+	return c.seq
 }
 
 func (c *Core) removeMember(id string) {
@@ -62,9 +72,7 @@
 	if s == nil {
 		return
 	}
-	c.seq++
-	c.probe = &activeProbe{memberID: s.ID, seq: c.seq, ackDeadline: now + c.opt.AckTimeout, deadline: now + 2*c.opt.AckTimeout}
-	c.send(s.Addr, Packet{Kind: Ping, Seq: c.seq})
+	c.probe = &activeProbe{memberID: s.ID, seq: c.ping(s.Addr), ackDeadline: now + c.opt.AckTimeout, deadline: now + 2*c.opt.AckTimeout}
 }
 
 // nextProbeTarget returns the next member to probe in round-robin order, or nil. A
@@ -124,6 +132,7 @@
 
 // HandlePacket processes a packet received from addr.
 func (c *Core) HandlePacket(now time.Duration, addr string, p Packet) {
+	c.now = now
 	for _, r := range p.Records {
 		c.applyRecord(now, r)
 	}
@@ -162,6 +171,7 @@
 		c.send(r.requesterAddr, Packet{Kind: Ack, Seq: r.requesterSeq, By: by})
 		return
 	}
+	c.recordAnswer(p)
 	if c.probe == nil || c.probe.seq != p.Seq {
 		return
 	}
@@ -174,6 +184,17 @@
 	}
 }
 
+// recordAnswer reports the ack of a ping. One that was relayed tells nothing of the node that was
+// pinged but that it responds.
+func (c *Core) recordAnswer(p Packet) {
+	sent, ok := c.pings[p.Seq]
+	if !ok || p.By != "" {
+		return
+	}
+	delete(c.pings, p.Seq)
+	c.answers = append(c.answers, Answer{sent.addr, sent.at, p})
+}
+
 // send queues a packet for sending, with piggybacked records.
 func (c *Core) send(addr string, p Packet) {
 	p.From = c.self.ID
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -88,8 +88,7 @@
 	ConfigFetches       int64 `json:"config_fetches"`
 	FailedConfigFetches int64 `json:"config_fetches_failed"`
 	// ConfigConfirmedMs is how long ago a quorum of replicas confirmed that the version in
-	// force, or an older one, was the newest, in milliseconds, -1 for never. Nodes ask for it
-	// to read the current settings, and all the time with Options.KeyTrust.
+	// force, or an older one, was the newest, in milliseconds, -1 for never.
 	ConfigConfirmedMs int64 `json:"config_confirmed_ms"`
 	// ConfigDoubtMs is for how long the version in force may have been outdated, in
 	// milliseconds, and ConfigDoubt why; 0 and "" if it is current as far as the node knows.
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -44,9 +44,11 @@
 	// parent is the execution that made this nested call, nil at the entry.
 	parent *execution
 	// conf are the settings by which the request is judged, and policy what they say of it.
-	// heardVersion is the newest version that the node had heard of then.
+	// heardVersion is the newest version that the node had heard of then, and confirmedAt when
+	// a quorum had last confirmed conf, on the node's clock, 0 for never.
 	conf         *config
 	heardVersion uint64
+	confirmedAt  time.Duration
 	policy       *settings.Policy
 	retryBudget  *budget.Pool
 	scope        *scope.Scope
@@ -96,10 +98,20 @@
 
 // bindConfig judges the call by the settings in force and returns them.
 func (n *Node) bindConfig(c *call) *config {
-	c.conf, c.heardVersion = n.conf.Load(), n.gossip.highestVersion.Load()
+	c.conf, c.heardVersion, c.confirmedAt = n.conf.Load(), n.gossip.highestVersion.Load(), n.versions.confirmation()
 	return c.conf
 }
 
+// unconfirmedFor returns how long the settings by which a call is judged had not been confirmed
+// when it began, 0 if they had been recently or never.
+func (n *Node) unconfirmedFor(c *call) time.Duration {
+	age := c.started.Sub(n.start) - c.confirmedAt
+	if c.confirmedAt == 0 || age <= contactTimeout {
+		return 0
+	}
+	return age
+}
+
 // hasOutdatedConfig reports whether the node had heard of newer settings when it judged the call.
 func (c *call) hasOutdatedConfig() bool { return c.conf != nil && c.heardVersion > c.conf.version }
 
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -125,6 +125,9 @@
 	for _, o := range outs {
 		g.sendPacket(o)
 	}
+	for _, a := range g.core.TakeAnswers() {
+		g.handleAnswer(a)
+	}
 	for _, e := range events {
 		g.views.handleEvent(e)
 	}
@@ -147,8 +150,10 @@
 	g.nextPublish = now + publishCostDivisor*(g.node.clock()-now)
 }
 
-// sendPacket sends a packet with this node's version of the settings attached.
+// sendPacket sends a packet with this node's version of the settings and its age attached.
 func (g *gossiper) sendPacket(o gossip.OutgoingPacket) {
+	// The age comes first, as it holds for a version that is activated meanwhile, too.
+	o.Packet.ConfigAge = g.node.packetAge()
 	o.Packet.Config = g.node.conf.Load().version
 	b := gossip.EncodePacket(o.Packet)
 	addr, err := net.ResolveUDPAddr("udp", o.Addr)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,6 +213,7 @@
 	n.serveInBackground("control", func() error { return n.control.serve(lns.control) })
 	n.startTask("links", n.linkLoop)
 	n.startTask("upkeep", n.maintenanceLoop)
+	n.startTask("confirm", n.confirmLoop)
 	n.startTask("quotas", n.quotas.loop)
 	n.startTask("refresh", n.refreshPeersLoop)
 	n.startTask("find", n.probeLostPeersLoop)
@@ -309,6 +310,7 @@
 	n.runEvery(maintenanceInterval, func(now time.Time) {
 		n.pauses.tick(n.clock(), now)
 		n.trackSettingsDoubt(n.clock())
+		n.trackConfirmation(n.clock())
 		n.expireLease(now)
 		n.serverReports.expire(n.clock())
 		n.trackOverload(now)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -404,6 +404,12 @@
 	return ""
 }
 
+// leads reports whether this node leads a group.
+func (r *replicas) leads(id int) bool {
+	g := r.group(id)
+	return g != nil && g.leads.Load()
+}
+
 // leadsAny reports whether this node leads a group.
 func (r *replicas) leadsAny() bool {
 	for _, g := range r.groups {
@@ -661,3 +667,13 @@
 	})
 	return version, entries, err
 }
+
+// readConfigVersion returns the version of the current settings from a linearizable read.
+func (r *replicas) readConfigVersion(wait time.Duration) (version uint64, err error) {
+	g := r.group(configGroup)
+	if g == nil {
+		return 0, fault.New(fault.NotLeader, "this node has no replica")
+	}
+	err = g.readLinearizable(wait, func() { version = g.sm.(*configMachine).store.Version() })
+	return version, err
+}
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -84,6 +84,9 @@
 	if c.hasOutdatedConfig() {
 		kv = append(kv, "heard_version", c.heardVersion)
 	}
+	if age := n.unconfirmedFor(c); age > 0 {
+		kv = append(kv, "config_age_ms", age.Milliseconds())
+	}
 	if c.retryDenied {
 		kv = append(kv, "retry_denied", "ratio")
 	}
@@ -132,5 +135,5 @@
 		return
 	}
 	n.info("serve", "Request of another node completed by older settings.", "id", c.id, "kind", c.target,
-		"config_version", c.configVersion(), "heard_version", c.heardVersion)
+		"config_version", c.configVersion(), "heard_version", c.heardVersion, "config_age_ms", n.unconfirmedFor(c).Milliseconds())
 }
--- a/internal/node/settings_doubt.go
+++ b/internal/node/settings_doubt.go
@@ -116,9 +116,11 @@
 }
 
 // doubtTracker tracks for how long the settings in force may have been outdated. The
-// maintenance task owns watch.
+// maintenance task owns watch and unconfirmed.
 type doubtTracker struct {
 	watch doubtWatch
+	// unconfirmed tracks for how long no quorum has confirmed them.
+	unconfirmed doubtWatch
 	// since is when the doubt began, on the node's clock, 0 while there is none.
 	since atomic.Int64
 }
--- a/internal/node/settings_doubt_test.go
+++ b/internal/node/settings_doubt_test.go
@@ -118,15 +118,16 @@
 	tracker.confirm(time.Second, 3, 4)
 	g.Expect(tracker.confirmation()).To(gomega.Equal(2 * time.Second))
 
-	n := startReplicas(t, "a")[0]
-	g.Expect(n.Status().ConfigConfirmedMs).To(gomega.Equal(int64(-1)))
+	g.Expect(startNode(t, "a", nil, nil).Status().ConfigConfirmedMs).To(gomega.Equal(int64(-1)))
+	replicas := startReplicas(t, "a")
+	g.Eventually(replicas[0].Status, 10*time.Second, 10*time.Millisecond).Should(gomega.HaveField("ConfigConfirmedMs", gomega.BeNumerically(">=", 0)))
 	g.Eventually(func() error {
-		if _, ferr := n.readCurrentConfig(time.Second); ferr != nil {
+		if _, ferr := replicas[0].readCurrentConfig(time.Second); ferr != nil {
 			return ferr
 		}
 		return nil
 	}, 10*time.Second).Should(gomega.Succeed())
-	g.Expect(n.Status().ConfigConfirmedMs).To(gomega.BeNumerically(">=", 0))
+	g.Expect(replicas[0].Status().ConfigConfirmedMs).To(gomega.BeNumerically("<", 1000))
 }
 
 // A node with settings from its disk must not say that something does not exist before it has
--- a/internal/node/version_tracker.go
+++ b/internal/node/version_tracker.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/umberthread/umberthread/confirm"
 	"github.com/umberthread/umberthread/internal/latency"
 	"github.com/umberthread/umberthread/raft"
 )
@@ -44,9 +45,10 @@
 	delays latency.Histogram
 	// fetches and failedFetches count the fetches from other nodes.
 	fetches, failedFetches atomic.Int64
-	// confirmedAt is the latest time at which a quorum confirmed to this node that a version
-	// that it has was the newest, 0 for never.
-	confirmedAt time.Duration
+	// confirmations are those of the active version by a quorum, and confirmedAt is the time of
+	// the latest one, 0 for never, for those that must not wait for mu.
+	confirmations confirm.Tracker
+	confirmedAt   atomic.Int64
 	// replicaKnown reports whether a replica is known, and replicaLostAt is when the
 	// last known one was lost.
 	replicaKnown  bool
@@ -74,6 +76,8 @@
 func (t *versionTracker) activate(now time.Duration, version uint64) (delay time.Duration, source versionSource, from string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.confirmations.Activate(version)
+	t.confirmedAt.Store(int64(t.confirmations.ConfirmedAt()))
 	if t.pending == 0 {
 		t.lastDelay = 0
 		return 0, viaDisk, ""
@@ -95,24 +99,17 @@
 	return t.lastDelay
 }
 
-// confirm records that a quorum confirmed at a time that a version was the newest, if the
-// active version is that one or newer.
+// confirm records that at a time, a quorum confirmed that no version was newer than the given one.
 func (t *versionTracker) confirm(at time.Duration, version, active uint64) {
-	if version > active {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.confirmedAt = max(t.confirmedAt, at)
+	t.confirmations.Record(confirm.Confirmation{At: at, Version: version}, active)
+	t.confirmedAt.Store(int64(t.confirmations.ConfirmedAt()))
 }
 
 // confirmation returns when a quorum last confirmed the active version or an older one as the
 // newest, 0 for never.
-func (t *versionTracker) confirmation() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.confirmedAt
-}
+func (t *versionTracker) confirmation() time.Duration { return time.Duration(t.confirmedAt.Load()) }
 
 // observeReplicas records whether a replica is known. It reports whether that
 // changed and, if one is known again, for how long none was.
