--- a/discovery/late_settings_test.go
+++ b/discovery/late_settings_test.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// freezeScenarioCount and restScenarioCount are the numbers of simulated clusters of
-	// lateNodesPerDomain nodes in each of three failure domains.
-	freezeScenarioCount, restScenarioCount = 20, 40
-	lateNodesPerDomain                     = 30
+	// freezeScenarioCount, restScenarioCount and linkScenarioCount are the numbers of simulated
+	// clusters of lateNodesPerDomain nodes in each of three failure domains.
+	freezeScenarioCount, restScenarioCount, linkScenarioCount = 20, 40, 20
+	lateNodesPerDomain                                        = 30
 	// changeInterval is the time between two changes of the settings.
 	changeInterval = 250 * time.Millisecond
 	// replicaOutage is for how long all replicas are without power.
@@ -34,6 +34,8 @@
 	acceptedAt map[int]time.Duration
 	lateness   []time.Duration
 	resumedAt  map[string]time.Duration
+	// goneReplica is the replica that does not return, "" if all do.
+	goneReplica string
 }
 
 // newLateScenario starts a cluster of three failure domains with a replica and some nodes each.
@@ -89,11 +91,16 @@
 	}
 }
 
-// loseReplicasForAWhile cuts the power of all replicas for replicaOutage. They keep their disks.
+// loseReplicasForAWhile cuts the power of all replicas, of all but goneReplica for replicaOutage.
+// They keep their disks.
 func (s *lateScenario) loseReplicasForAWhile() {
 	for _, addr := range s.replicas {
 		s.stop(addr)
-		s.after(replicaOutage, func() { s.startWithRandomDelay(addr, s.version) })
+		s.after(replicaOutage, func() {
+			if addr != s.goneReplica {
+				s.startWithRandomDelay(addr, s.version)
+			}
+		})
 	}
 }
 
@@ -136,6 +143,17 @@
 	}
 }
 
+// stopLinkMembers stops the link members of all failure domains for good.
+func (s *lateScenario) stopLinkMembers() {
+	for _, domain := range []string{"a", "b", "c"} {
+		i := slices.IndexFunc(s.nodes, func(addr string) bool { return s.domains[addr] == domain && s.processes[addr] != nil })
+		_, addrs := s.processes[s.nodes[i]].linkMembers()
+		for _, addr := range addrs {
+			s.stop(addr)
+		}
+	}
+}
+
 // play runs one loss of all replicas with other failures beside it, which begin a time before the
 // replicas return, and changes of the settings all the time. It returns the lateness of each
 // version on each node that was up.
@@ -194,3 +212,13 @@
 		return s.play(func() { s.stopMost("c", 4) }, 100*time.Millisecond)
 	})
 }
+
+// TestSettingsReachDomainWithoutReplicaWhoseLinkMembersVanish checks the same for a failure domain
+// whose replica does not return, while the members that would bring news from the other domains
+// have just vanished.
+func TestSettingsReachDomainWithoutReplicaWhoseLinkMembersVanish(t *testing.T) {
+	checkLateness(t, linkScenarioCount, func(s *lateScenario) []time.Duration {
+		s.goneReplica = "c/replica"
+		return s.play(s.stopLinkMembers, -time.Second)
+	})
+}
--- a/internal/node/config_fetch_test.go
+++ b/internal/node/config_fetch_test.go
@@ -50,6 +50,28 @@
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", settingsDeadline))
 }
 
+// Guards against the same where the node that responds was heard from before most of the others,
+// so that these are asked first.
+func TestSettingsFetchSkipsSilentNodesHeardLast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	behindNode, ahead := startNode(t, "a", nil, nil), startNode(t, "a", nil, nil)
+	ahead.applyDocument(7, settings.Entries{"#deadline": "4s"})
+	began := time.Now()
+	const silentNodes = 12
+	for i := range silentNodes + 1 {
+		addr := ahead.opt.Control
+		if i != 1 {
+			silent, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = silent.Close() }()
+			addr = silent.Addr().String()
+		}
+		behindNode.gossip.configHints.Offer(configHint{addr, 7})
+	}
+	g.Eventually(func() uint64 { return behindNode.conf.Load().version }, 10*time.Second, 5*time.Millisecond).Should(gomega.Equal(uint64(7)))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", settingsDeadline))
+}
+
 // Guards against a sync that only updates the sender: the receiver must fetch newer settings
 // of the sender at once.
 func TestSyncTellsReceiverOfNewerSettings(t *testing.T) {
