A node whose settings nobody has confirmed for a second asks

Callers saw requests served by settings over two seconds old, as nobody told the nodes of their failure domain of newer ones. Cause: a node only listens, and those that would tell it are gone: news goes to random members, most of which have vanished unnoticed, and from domain to domain by link members, which have vanished as well.

Now a node whose settings no quorum has confirmed for a second asks a replica, and without an answer several nodes at once, every 0.25 s and later 0.5 s. confirm.Asker decides, for the node and the scenarios of discovery alike. A question is a gossip packet of a new kind, without records: as a ping it merged the memberships of the two domains, which a first try showed (TestQueryDoesNotMergeMemberships).

TestSettingsAreNotCurrentBeforeTheDomainsOfTheGroupAreMet met a replica that a quorum had just confirmed, which by design is in no doubt. It now judges the node without a confirmation, which it took for granted; what it expects is unchanged.

--- a/discovery/lost.go
+++ b/discovery/lost.go
@@ -93,10 +93,16 @@
 	if len(s.view.Replicas) > 0 {
 		return nil
 	}
-	addrs := slices.Concat(s.bootstrapAddrs, slices.Collect(maps.Keys(s.lostReplicas)))
-	addrs = slices.DeleteFunc(addrs, func(a string) bool {
-		return a == s.opt.Self || s.replied[a] || slices.Contains(s.view.Alive, a)
+	return slices.DeleteFunc(s.ReplicaAddrs(), func(a string) bool {
+		return s.replied[a] || slices.Contains(s.view.Alive, a)
 	})
+}
+
+// ReplicaAddrs returns all addresses where a settings replica may be, whether one is known or not:
+// those of lost replicas and the bootstrap addresses.
+func (s *Scheduler) ReplicaAddrs() []string {
+	addrs := slices.Concat(s.bootstrapAddrs, slices.Collect(maps.Keys(s.lostReplicas)))
+	addrs = slices.DeleteFunc(addrs, func(a string) bool { return a == s.opt.Self })
 	slices.Sort(addrs)
 	return slices.Compact(addrs)
 }
--- a/discovery/sim_test.go
+++ b/discovery/sim_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/umberthread/umberthread/confirm"
 	"github.com/umberthread/umberthread/fetch"
 	"github.com/umberthread/umberthread/gossip"
 	"github.com/umberthread/umberthread/member"
@@ -75,6 +76,8 @@
 	scheduler        *Scheduler
 	settingsVersion  int
 	fetcher          *fetch.Scheduler
+	asker            *confirm.Asker
+	confirmations    confirm.Tracker
 	// activated is called when the process activates a version of the settings.
 	activated func(version int)
 	// suspended are the events that wait until the process is resumed.
@@ -115,7 +118,7 @@
 	f.seq++
 	p := &simProcess{
 		cluster: f, id: fmt.Sprintf("%s#%d", addr, f.seq), addr: addr, domain: domain, started: f.now, settingsVersion: version,
-		fetcher: fetch.New(), activated: func(int) {},
+		fetcher: fetch.New(), asker: confirm.NewAsker(f.rng), activated: func(int) {},
 		members: map[string]gossip.Member{}, links: map[string]member.Link{}, domainAddrs: map[string]string{}, requesters: map[string][]string{},
 	}
 	p.gossip = gossip.New(gossip.Member{ID: p.id, Addr: addr}, gossip.Options{
@@ -128,6 +131,7 @@
 	p.tickGossip()
 	p.runDueSyncs()
 	p.runExchanges()
+	p.runAsks()
 	return p
 }
 
@@ -208,9 +212,12 @@
 
 // processGossipOutput sends the gossip core's packets and handles its events.
 func (p *simProcess) processGossipOutput() {
+	for _, a := range p.gossip.TakeAnswers() {
+		p.handleAnswer(a)
+	}
 	outs, events := p.gossip.TakeOutput()
 	for _, o := range outs {
-		o.Packet.Config = uint64(p.settingsVersion)
+		o.Packet.Config, o.Packet.ConfigAge = uint64(p.settingsVersion), p.packetAge()
 		if p.cluster.rng.Float64() < simPacketLoss {
 			continue
 		}
@@ -270,6 +277,7 @@
 
 func (p *simProcess) receivePacket(addr string, k gossip.Packet) {
 	if m, ok := p.members[k.From]; ok {
+		p.asker.Heard(m.Addr)
 		p.fetchNewerSettings(m.Addr, int(k.Config))
 	}
 	p.gossip.HandlePacket(p.uptime(), addr, k)
@@ -285,6 +293,52 @@
 	p.runFetches()
 }
 
+// packetAge returns the age of the settings as packets carry it. Replicas have a quorum.
+func (p *simProcess) packetAge() uint32 {
+	at := p.confirmations.ConfirmedAt()
+	switch {
+	case isReplica(p.addr):
+		return 1
+	case at == 0:
+		return 0
+	}
+	return uint32((p.uptime() - at).Milliseconds() + 1)
+}
+
+// handleAnswer takes the version and the age of the settings from an answer to a ping.
+func (p *simProcess) handleAnswer(a gossip.Answer) {
+	if age := time.Duration(a.Packet.ConfigAge) * time.Millisecond; age > 0 {
+		p.confirmations.Record(confirm.Confirmation{At: a.SentAt - age, Version: a.Packet.Config}, uint64(p.settingsVersion))
+	}
+	p.fetchNewerSettings(a.Addr, int(a.Packet.Config))
+}
+
+// runAsks asks others for a confirmation of the settings whenever the last one is too old.
+func (p *simProcess) runAsks() {
+	if isReplica(p.addr) {
+		return
+	}
+	addrs, wait := p.asker.Next(p.uptime(), p.confirmations.ConfirmedAt(), p.askTargets())
+	for _, addr := range addrs {
+		p.gossip.Query(addr)
+	}
+	p.processGossipOutput()
+	p.cluster.after(wait, func() { p.ifRunning(p.runAsks) })
+}
+
+// askTargets returns the addresses that the process may ask.
+func (p *simProcess) askTargets() confirm.Targets {
+	t := confirm.Targets{OtherReplicas: p.scheduler.ReplicaAddrs()}
+	for _, addr := range p.scheduler.view.Replicas {
+		if strings.HasPrefix(addr, p.domain+"/") {
+			t.Replicas = append(t.Replicas, addr)
+		} else if !slices.Contains(t.OtherReplicas, addr) {
+			t.OtherReplicas = append(t.OtherReplicas, addr)
+		}
+	}
+	return t
+}
+
 // runFetches starts the fetches of settings that are due.
 func (p *simProcess) runFetches() {
 	for {
@@ -313,6 +367,7 @@
 		return
 	}
 	p.settingsVersion = version
+	p.confirmations.Activate(uint64(version))
 	p.activated(version)
 	p.gossip.PingRandom(simUrgentPings)
 	p.processGossipOutput()
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -79,10 +79,13 @@
 const (
 	// Ping asks the receiver for an Ack.
 	Ping PacketKind = iota + 1
-	// Ack answers a Ping or a PingReq.
+	// Ack answers a Ping, a PingReq or a Query.
 	Ack
 	// PingReq asks the receiver to probe the address in Target.
 	PingReq
+	// Query is a Ping from a node that need not be of the same failure domain. Neither it nor
+	// its Ack carries records, which would merge the memberships of two domains.
+	Query
 )
 
 // Packet is one datagram between members.
@@ -113,11 +116,11 @@
 	Packet Packet
 }
 
-// Answer is an ack of a ping that the node sent.
+// Answer is an ack of a ping or query that the node sent.
 type Answer struct {
-	// Addr is the address to which the ping was sent.
+	// Addr is the address to which that was sent.
 	Addr string
-	// SentAt is a time before the ping was sent, less than one tick before.
+	// SentAt is a time before it was sent, less than one tick before.
 	SentAt time.Duration
 	Packet Packet
 }
@@ -148,7 +151,7 @@
 	// now is the time of the last tick or packet.
 	now time.Duration
 	seq uint64
-	// pings are the pings that the node sent for itself and that are not answered.
+	// pings are the pings and queries that the node sent for itself and that are not answered.
 	pings       map[uint64]sentPing
 	nextProbeAt time.Duration
 	probe       *activeProbe
@@ -172,7 +175,7 @@
 	deadline     time.Duration
 }
 
-// sentPing is a ping that the node sent for itself.
+// sentPing is a ping or query that the node sent for itself.
 type sentPing struct {
 	addr string
 	at   time.Duration
@@ -254,15 +257,17 @@
 	return outs, events
 }
 
-// TakeAnswers returns the acks of the node's pings since the last call.
+// TakeAnswers returns the acks of the node's pings and queries since the last call.
 func (c *Core) TakeAnswers() []Answer {
 	answers := c.answers
 	c.answers = nil
 	return answers
 }
 
-// Ask pings an address, which need not be that of a member.
-func (c *Core) Ask(addr string) { c.ping(addr) }
+// Query asks the node at an address, of any failure domain, for its version of the settings.
+func (c *Core) Query(addr string) {
+	c.outgoing = append(c.outgoing, OutgoingPacket{addr, Packet{Kind: Query, From: c.self.ID, Seq: c.nextSeq(addr)}})
+}
 
 // PingRandom pings n random members, so that queued records do not wait for the next
 // probe.
--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -47,9 +47,15 @@
 
 // ping sends a ping for this node and returns its sequence number.
 func (c *Core) ping(addr string) uint64 {
+	seq := c.nextSeq(addr)
+	c.send(addr, Packet{Kind: Ping, Seq: seq})
+	return seq
+}
+
+// nextSeq returns the sequence number of a ping or query to an address, and remembers it.
+func (c *Core) nextSeq(addr string) uint64 {
 	c.seq++
 	c.pings[c.seq] = sentPing{addr, c.now}
-	c.send(addr, Packet{Kind: Ping, Seq: c.seq})
 	return c.seq
 }
 
@@ -145,6 +151,8 @@
 		c.seq++
 		c.relays[c.seq] = relay{addr, p.Seq, now + c.opt.ProbeInterval}
 		c.send(p.Target, Packet{Kind: Ping, Seq: c.seq})
+	case Query:
+		c.outgoing = append(c.outgoing, OutgoingPacket{addr, Packet{Kind: Ack, From: c.self.ID, Seq: p.Seq}})
 	case Ack:
 		c.handleAck(now, p)
 	}
@@ -184,7 +192,7 @@
 	}
 }
 
-// recordAnswer reports the ack of a ping. One that was relayed tells nothing of the node that was
+// recordAnswer reports the ack of a ping or query. One that was relayed tells nothing of the node that was
 // pinged but that it responds.
 func (c *Core) recordAnswer(p Packet) {
 	sent, ok := c.pings[p.Seq]
--- /dev/null
+++ b/gossip/query_test.go
@@ -0,0 +1,32 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestQueryDoesNotMergeMemberships guards against members of one failure domain that become known
+// in another one, whose node only asked for the settings' version.
+func TestQueryDoesNotMergeMemberships(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newSimNetwork(2, 1)
+	w.cores["other"] = New(Member{ID: "other", Addr: "other"}, testOptions(w.rng))
+	asking, asked := w.cores["other"], w.cores["n000"]
+	asked.Tick(time.Second)
+	asked.TakeOutput()
+	asking.Tick(time.Second)
+	asking.Query("n000")
+	outs, _ := asking.TakeOutput()
+	g.Expect(outs).To(gomega.HaveLen(1))
+	g.Expect(outs[0].Packet.Records).To(gomega.BeEmpty())
+	asked.HandlePacket(time.Second, "other", outs[0].Packet)
+	acks, _ := asked.TakeOutput()
+	g.Expect(acks).To(gomega.HaveLen(1))
+	g.Expect(acks[0].Packet.Records).To(gomega.BeEmpty())
+	asking.HandlePacket(1100*time.Millisecond, "n000", acks[0].Packet)
+	g.Expect(asking.TakeAnswers()).To(gomega.Equal([]Answer{{"n000", time.Second, acks[0].Packet}}))
+	g.Expect(asking.Members()).To(gomega.BeEmpty())
+	g.Expect(asked.Members()).To(gomega.HaveLen(1))
+}
--- a/internal/node/confirmations.go
+++ b/internal/node/confirmations.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
+	"github.com/umberthread/umberthread/confirm"
 	"github.com/umberthread/umberthread/gossip"
 )
 
@@ -15,15 +17,69 @@
 	selfConfirmTimeout = 500 * time.Millisecond
 )
 
-// confirmLoop keeps the settings of this node confirmed by a quorum: as the leader by a read.
+// confirmLoop keeps the settings of this node confirmed by a quorum: on the leader by reads, on
+// other nodes by asking those that know.
 func (n *Node) confirmLoop() {
-	n.runEvery(selfConfirmInterval, func(time.Time) {
+	asker := confirm.NewAsker(newRand())
+	for {
+		wait := selfConfirmInterval
 		if n.replicas.leads(configGroup) {
 			n.confirmAsLeader()
+		} else {
+			wait = n.askForConfirmation(asker)
+		}
+		select {
+		case <-n.stop:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// askForConfirmation asks other nodes if a question is due. It returns the time until the next one.
+func (n *Node) askForConfirmation(asker *confirm.Asker) time.Duration {
+	if addr := n.gossip.lastSender(); addr != "" {
+		asker.Heard(addr)
+	}
+	addrs, wait := asker.Next(n.clock(), n.versions.confirmation(), n.confirmTargets())
+	n.gossip.query(addrs)
+	return wait
+}
+
+// confirmTargets returns the addresses that this node may ask.
+func (n *Node) confirmTargets() confirm.Targets {
+	t := confirm.Targets{Leader: n.replicas.leaderAddr(configGroup), OtherReplicas: n.gossip.replicaAddrs()}
+	for _, p := range n.view.Load().replicas {
+		switch {
+		case p.Addr == n.opt.AdvertiseControl:
+		case p.Domain == n.opt.Domain:
+			t.Replicas = append(t.Replicas, p.Addr)
+		case !slices.Contains(t.OtherReplicas, p.Addr):
+			t.OtherReplicas = append(t.OtherReplicas, p.Addr)
+		}
+	}
+	return t
+}
+
+// query asks the nodes at some addresses for their version of the settings and its age.
+func (g *gossiper) query(addrs []string) {
+	if len(addrs) == 0 {
+		return
+	}
+	g.postToCore(func() {
+		for _, addr := range addrs {
+			g.core.Query(addr)
 		}
 	})
 }
 
+// replicaAddrs returns the addresses where a replica may be that are not known to be up.
+func (g *gossiper) replicaAddrs() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.syncScheduler.ReplicaAddrs()
+}
+
 // confirmAsLeader has a quorum confirm the settings by a read on the replica of this node.
 func (n *Node) confirmAsLeader() {
 	began := n.clock()
--- a/internal/node/gossiper.go
+++ b/internal/node/gossiper.go
@@ -73,6 +73,8 @@
 	// contactAt is when a message of another node last arrived, on the node's clock, 0 for
 	// never.
 	contactAt atomic.Int64
+	// sender is the address of the node whose message arrived last, nil for none.
+	sender atomic.Pointer[string]
 	// mu guards syncScheduler, which selects the nodes to sync records with.
 	mu            sync.Mutex
 	syncScheduler *discovery.Scheduler
@@ -224,6 +226,14 @@
 // never.
 func (g *gossiper) lastContact() time.Duration { return time.Duration(g.contactAt.Load()) }
 
+// lastSender returns the address of the node whose message arrived last, "" for none.
+func (g *gossiper) lastSender() string {
+	if addr := g.sender.Load(); addr != nil {
+		return *addr
+	}
+	return ""
+}
+
 // raiseHighestVersion records a version of the settings if it is the highest known.
 func (g *gossiper) raiseHighestVersion(version uint64) {
 	for {
@@ -239,6 +249,9 @@
 func (g *gossiper) observeVersion(source versionSource, addr string, version uint64) {
 	g.raiseHighestVersion(version)
 	g.contactAt.Store(int64(g.node.clock()))
+	if addr != "" {
+		g.sender.Store(&addr)
+	}
 	active := g.node.conf.Load().version
 	g.node.versions.observe(g.node.clock(), version, active, source, addr)
 	if addr != "" && version > active {
--- a/internal/node/settings_doubt_test.go
+++ b/internal/node/settings_doubt_test.go
@@ -182,7 +182,7 @@
 }
 
 // A replica that restarts knows from its group that other failure domains exist. Before its link
-// members reach them, it must not say that something does not exist.
+// members reach them, it must not say that something does not exist, unless a quorum says so.
 func TestSettingsAreNotCurrentBeforeTheDomainsOfTheGroupAreMet(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n := startReplicas(t, "a", "b", "c")[1]
@@ -195,6 +195,10 @@
 		defer n.view.Store(known)
 		met := map[string]links.RemoteDomain{"a": known.domains["a"]}
 		n.view.Store(&membershipView{members: known.members, replicas: known.replicas, domains: met})
+		// No confirmation is recorded while the lock is held.
+		n.versions.mu.Lock()
+		defer n.versions.mu.Unlock()
+		n.versions.confirmedAt.Store(0)
 		doubt = n.settingsDoubt(n.conf.Load())
 	})
 	g.Expect(doubt.String()).To(gomega.Equal("no link member has reported on failure domain c"))
