A node that waits for a fetch queries which other nodes respond

Cause: whether a node responds was learned by a fetch from it, and fetches are bounded, as their replies share the node's link.

Where replies are slow, as over a full link, queries wait for two mean latencies.

--- a/discovery/sim_test.go
+++ b/discovery/sim_test.go
@@ -344,8 +344,15 @@
 	for {
 		f, ok, wait := p.fetcher.Next(p.uptime(), uint64(p.settingsVersion))
 		if !ok {
-			if wait > 0 {
-				p.cluster.after(wait, func() { p.ifRunning(p.runFetches) })
+			queried, queryWait := p.fetcher.Queries(p.uptime(), uint64(p.settingsVersion))
+			for _, addr := range queried {
+				p.gossip.Query(addr)
+			}
+			p.processGossipOutput()
+			for _, w := range []time.Duration{wait, queryWait} {
+				if w > 0 {
+					p.cluster.after(w, func() { p.ifRunning(p.runFetches) })
+				}
 			}
 			return
 		}
--- a/fetch/scheduler.go
+++ b/fetch/scheduler.go
@@ -1,6 +1,10 @@
 package fetch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// minHedgeDelay is the time without a reply after which another node is asked as well, at
@@ -9,6 +13,14 @@
 	// hedgeLatencies is the same in mean latencies of the last replies: where all replies are
 	// slow, as over a full link, further ones would only slow them more.
 	hedgeLatencies = 4
+	// minQueryDelay is the time without a reply after which other nodes are queried, at the
+	// earliest, queryLatencies the same in mean latencies of the last replies, and queryInterval
+	// the time between two rounds of queries.
+	minQueryDelay  = minHedgeDelay / 2
+	queryLatencies = hedgeLatencies / 2
+	queryInterval  = 250 * time.Millisecond
+	// maxQueries bounds the queries of one round.
+	maxQueries = 16
 	// latencyWeight is the weight of the latest reply in the mean latency.
 	latencyWeight = 0.25
 	// initialSilence is for how long nothing may arrive in the first fetches. It is short so that
@@ -44,6 +56,8 @@
 	// then either replied or failed.
 	startedAt                time.Duration
 	pending, replied, failed bool
+	// queriedAt is when it was last queried, 0 for never.
+	queriedAt time.Duration
 }
 
 // silent reports whether the node has failed and was not heard from since the fetch began.
@@ -59,6 +73,11 @@
 	latency time.Duration
 	// failures counts the consecutive failures of any nodes.
 	failures int
+	// unanswered is set while no node has replied to the fetches since unansweredSince.
+	unanswered      bool
+	unansweredSince time.Duration
+	// nextQuery is when the next round of queries is due.
+	nextQuery time.Duration
 }
 
 // New returns the scheduler of a node that has heard of no settings.
@@ -107,12 +126,52 @@
 	src.pending, src.startedAt = true, now
 	s.pending++
 	s.lastStart = now
+	if !s.unanswered {
+		s.unanswered, s.unansweredSince = true, now
+		s.nextQuery = now + max(minQueryDelay, queryLatencies*s.latency)
+	}
 	return Fetch{addr, s.silence(), timeout}, true, 0
 }
 
+// Queries returns the addresses of nodes to query now, as a fetch has no reply yet: which of them
+// respond is told by Observe, at less cost than by a fetch from each. wait is the time after which
+// to call Queries again, 0 if only a fetch can change that.
+func (s *Scheduler) Queries(now time.Duration, active uint64) (addrs []string, wait time.Duration) {
+	if !s.unanswered || s.pending == 0 {
+		return nil, 0
+	}
+	if s.nextQuery > now {
+		return nil, s.nextQuery - now
+	}
+	s.nextQuery = now + queryInterval
+	for addr, src := range s.sources {
+		if !src.pending && src.version > active && !s.responds(src) {
+			addrs = append(addrs, addr)
+		}
+	}
+	slices.SortFunc(addrs, s.compareForQuery)
+	addrs = addrs[:min(len(addrs), maxQueries)]
+	for _, addr := range addrs {
+		s.sources[addr].queriedAt = now
+	}
+	return addrs, queryInterval
+}
+
+// compareForQuery orders the source queried longest ago first, among these the one heard from last.
+func (s *Scheduler) compareForQuery(a, b string) int {
+	srcA, srcB := s.sources[a], s.sources[b]
+	return cmp.Or(cmp.Compare(srcA.queriedAt, srcB.queriedAt), cmp.Compare(srcB.heardAt, srcA.heardAt), cmp.Compare(a, b))
+}
+
+// responds reports whether a source was heard from after a query, since fetches have had no reply.
+func (s *Scheduler) responds(src *source) bool {
+	return s.unanswered && src.queriedAt > s.unansweredSince && src.heardAt > src.queriedAt
+}
+
 // bestSource returns the source to ask next and the time from which it may be asked: one that
-// may be asked now before one that must wait, one that has replied before others, as a connection
-// to it is open, and among these the one heard from last. The address is "" if there is none.
+// may be asked now before one that must wait, one that a query has shown to respond, one
+// that has replied before others, as a connection to it is open, and among these the one heard
+// from last. The address is "" if there is none.
 func (s *Scheduler) bestSource(now time.Duration, active uint64) (best string, at time.Duration) {
 	for addr, src := range s.sources {
 		if src.pending || src.version <= active {
@@ -137,6 +196,8 @@
 		return atA < atB
 	case srcA.silent() != srcB.silent():
 		return srcB.silent()
+	case s.responds(srcA) != s.responds(srcB):
+		return s.responds(srcA)
 	case srcA.replied != srcB.replied:
 		return srcA.replied
 	case srcA.heardAt != srcB.heardAt:
@@ -165,7 +226,7 @@
 // older than the announced one if the node has been restarted.
 func (s *Scheduler) RecordReply(now time.Duration, addr string, version uint64) {
 	s.end(addr, false)
-	s.failures = 0
+	s.failures, s.unanswered = 0, false
 	src := s.sources[addr]
 	if src == nil {
 		return
--- a/fetch/scheduler_test.go
+++ b/fetch/scheduler_test.go
@@ -72,6 +72,58 @@
 	expectWait(g, s, time.Hour, 5, 0)
 }
 
+// While a fetch has no reply, the other nodes must be queried, and one that responds must be asked
+// before all others, also if they had replied before and were heard from later.
+func TestNodeThatRespondsToQueryIsAskedNext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, now := New(), time.Second
+	for i, addr := range []string{"a", "b"} {
+		version := uint64(4 + i)
+		s.Observe(now, addr, version)
+		g.Expect(start(g, s, now, version-1)).To(gomega.Equal(addr))
+		s.RecordReply(now, addr, version)
+	}
+	for _, addr := range []string{"c", "a", "b"} {
+		now++
+		s.Observe(now, addr, 6)
+	}
+	g.Expect(start(g, s, now, 5)).To(gomega.Equal("b"))
+	addrs, wait := s.Queries(now, 5)
+	g.Expect(addrs).To(gomega.BeEmpty())
+	g.Expect(wait).To(gomega.Equal(minQueryDelay))
+	now += wait
+	addrs, wait = s.Queries(now, 5)
+	g.Expect(addrs).To(gomega.Equal([]string{"a", "c"}))
+	g.Expect(wait).To(gomega.Equal(queryInterval))
+	s.Observe(now+1, "c", 6)
+	now += minHedgeDelay
+	g.Expect(start(g, s, now, 5)).To(gomega.Equal("c"))
+	s.RecordReply(now, "c", 6)
+	addrs, wait = s.Queries(now+queryInterval, 6)
+	g.Expect(addrs).To(gomega.BeEmpty())
+	g.Expect(wait).To(gomega.BeZero())
+}
+
+// The queries of a round must be bounded, and each source must get its turn.
+func TestQueriesAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, now := New(), time.Second
+	for i := range maxSources {
+		s.Observe(now, fmt.Sprint(i), 5)
+	}
+	start(g, s, now, 4)
+	queried := map[string]bool{}
+	for range maxSources / maxQueries {
+		now += queryInterval
+		addrs, _ := s.Queries(now, 4)
+		g.Expect(len(addrs)).To(gomega.BeNumerically("<=", maxQueries))
+		for _, addr := range addrs {
+			queried[addr] = true
+		}
+	}
+	g.Expect(queried).To(gomega.HaveLen(maxSources - 1))
+}
+
 // Where all replies are slow, another node must be asked later.
 func TestSlowRepliesAreHedgedLater(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -169,6 +221,11 @@
 					s.RecordFailure(addr)
 				}
 			}
+			queried, _ := s.Queries(now, active)
+			g.Expect(len(queried)).To(gomega.BeNumerically("<=", maxQueries))
+			for _, addr := range queried {
+				g.Expect(pending).NotTo(gomega.ContainElement(addr))
+			}
 			for {
 				f, ok, wait := s.Next(now, active)
 				if !ok {
--- a/internal/node/config_fetch.go
+++ b/internal/node/config_fetch.go
@@ -42,13 +42,15 @@
 	}
 }
 
-// startFetches starts the fetches that are due, and sets the timer for the next one.
+// startFetches starts the fetches and queries that are due, and sets the timer for the next ones.
 func (g *gossiper) startFetches(scheduler *fetch.Scheduler, timer *time.Timer, results chan<- fetchResult) {
 	timer.Stop()
 	for {
 		f, ok, wait := scheduler.Next(g.node.clock(), g.node.conf.Load().version)
 		if !ok {
-			if wait > 0 {
+			queried, queryWait := scheduler.Queries(g.node.clock(), g.node.conf.Load().version)
+			g.query(queried)
+			if wait = shorterWait(wait, queryWait); wait > 0 {
 				timer.Reset(wait)
 			}
 			return
@@ -63,6 +65,14 @@
 	}
 }
 
+// shorterWait returns the shorter of two waits, of which 0 means that there is none.
+func shorterWait(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // recordFetch tells the scheduler the result of a fetch.
 func (g *gossiper) recordFetch(scheduler *fetch.Scheduler, r fetchResult) {
 	if r.err != nil {
