Nodes that know no replica ask link members; the scenarios check ages

The scenarios now check at each node, ten times a second, that a quorum confirmed its settings within two seconds, unless it or its domain is disturbed, and that nothing newer had been accepted by the time of a confirmation.

The soak checks that each node's settings are confirmed after the last step.

--- a/confirm/asker.go
+++ b/confirm/asker.go
@@ -33,6 +33,9 @@
 	Replicas []string
 	// OtherReplicas are the same in other failure domains.
 	OtherReplicas []string
+	// LinkMembers are nodes of other failure domains. They are confirmed by their own replicas,
+	// of which this node may know none.
+	LinkMembers []string
 }
 
 // Asker decides when a node asks for a confirmation, and whom.
@@ -102,7 +105,7 @@
 // choose returns the addresses of one question: first the most likely one alone, then one of each
 // kind, as any of them may be gone.
 func (a *Asker) choose(now time.Duration, t Targets) []string {
-	kinds := [][]string{{t.Leader}, t.Replicas, t.OtherReplicas, a.heard}
+	kinds := [][]string{{t.Leader}, t.Replicas, t.OtherReplicas, t.LinkMembers, a.heard}
 	var addrs []string
 	for _, kind := range kinds {
 		addr := a.leastRecentlyAsked(kind, addrs)
--- a/confirm/asker_test.go
+++ b/confirm/asker_test.go
@@ -31,13 +31,13 @@
 	g := gomega.NewWithT(t)
 	a := newTestAsker()
 	a.Heard("member")
-	targets := Targets{Replicas: []string{"n1", "n2"}, OtherReplicas: []string{"f1", "f2", "f3"}}
+	targets := Targets{Replicas: []string{"n1", "n2"}, OtherReplicas: []string{"f1", "f2", "f3"}, LinkMembers: []string{"l1"}}
 	now := time.Duration(1)
 	asked := map[string]int{}
 	for i := range 12 {
 		addrs, wait := a.Next(now, 0, targets)
 		if i > 0 {
-			g.Expect(addrs).To(gomega.HaveLen(3))
+			g.Expect(addrs).To(gomega.HaveLen(4))
 		}
 		for _, addr := range addrs {
 			asked[addr]++
@@ -47,7 +47,7 @@
 		}
 		now += wait
 	}
-	g.Expect(asked).To(gomega.HaveLen(6))
+	g.Expect(asked).To(gomega.HaveLen(7))
 	g.Expect(asked["member"]).To(gomega.Equal(11))
 	g.Expect(asked["f1"]).To(gomega.BeNumerically(">=", 3))
 	g.Expect(asked["n2"]).To(gomega.BeNumerically(">=", 5))
--- a/discovery/late_settings_test.go
+++ b/discovery/late_settings_test.go
@@ -22,6 +22,8 @@
 	disturbedTime = 8 * time.Second
 	// settleTime is how long a node must have been resumed to count as late.
 	settleTime = 2 * time.Second
+	// ageCheckInterval is the time between two checks of the ages that the nodes know.
+	ageCheckInterval = 100 * time.Millisecond
 )
 
 // lateScenario is a cluster whose settings change all the time, and which tracks how late each
@@ -36,6 +38,12 @@
 	resumedAt  map[string]time.Duration
 	// goneReplica is the replica that does not return, "" if all do.
 	goneReplica string
+	// replicaUpAt is when the first of the running replicas started, and oldest is the highest
+	// age of a confirmation that a node knew while one had run for settleTime.
+	replicaUpAt time.Duration
+	oldest      time.Duration
+	// wrong are the confirmations of a version that was not the newest then.
+	wrong []string
 }
 
 // newLateScenario starts a cluster of three failure domains with a replica and some nodes each.
@@ -104,6 +112,28 @@
 	}
 }
 
+// checkAges records the age of the settings that each undisturbed node knows, and whether it is
+// true.
+func (s *lateScenario) checkAges() {
+	s.after(ageCheckInterval, s.checkAges)
+	if !slices.ContainsFunc(s.replicas, func(addr string) bool { return s.processes[addr] != nil }) {
+		s.replicaUpAt = s.now
+	}
+	for _, addr := range s.nodes {
+		p := s.processes[addr]
+		if p == nil || s.frozen[addr] {
+			continue
+		}
+		confirmedAt := p.started + p.confirmations.ConfirmedAt()
+		if next, ok := s.acceptedAt[p.settingsVersion+1]; ok && next <= confirmedAt && p.confirmations.ConfirmedAt() > 0 {
+			s.wrong = append(s.wrong, fmt.Sprintf("%s at %s: version %d as of %s", addr, s.now, p.settingsVersion, confirmedAt))
+		}
+		if s.now-s.replicaUpAt > settleTime && s.now-s.resumedAt[addr] > settleTime && !s.isolatedDomains[s.domains[addr]] {
+			s.oldest = max(s.oldest, s.now-confirmedAt)
+		}
+	}
+}
+
 // drawNodes returns a random share of the nodes that run.
 func (s *lateScenario) drawNodes(share float64) []string {
 	return slices.DeleteFunc(slices.Clone(s.nodes), func(addr string) bool {
@@ -166,6 +196,8 @@
 			s.after(at, s.change)
 		}
 	}
+	s.replicaUpAt = s.now
+	s.checkAges()
 	s.after(before, s.loseReplicasForAWhile)
 	s.after(before+replicaOutage-beforeReturn, disturb)
 	s.runUntil(end, func() bool { return false })
@@ -181,34 +213,39 @@
 	return s.lateness
 }
 
-// checkLateness plays scenarios and checks that each version was active on each node in time.
-func checkLateness(t *testing.T, scenarios uint64, play func(s *lateScenario) []time.Duration) {
+// checkLateness plays scenarios and checks that each version was active on each node in time, and
+// that each node knew how old its settings were.
+func checkLateness(t *testing.T, scenarios uint64, nodesPerDomain int, play func(s *lateScenario) []time.Duration) {
 	g := gomega.NewWithT(t)
 	var all []time.Duration
+	var oldest time.Duration
 	for seed := range scenarios {
-		late := play(newLateScenario(seed, lateNodesPerDomain))
-		if longest := slices.Max(late); longest > maxPropagationTime {
-			t.Logf("seed %d: longest %s", seed, longest)
+		s := newLateScenario(seed, nodesPerDomain)
+		late := play(s)
+		if longest := slices.Max(late); longest > maxPropagationTime || s.oldest > maxPropagationTime {
+			t.Logf("seed %d: longest %s, oldest %s", seed, longest, s.oldest)
 		}
-		all = append(all, late...)
+		g.Expect(s.wrong).To(gomega.BeEmpty(), "seed %d", seed)
+		all, oldest = append(all, late...), max(oldest, s.oldest)
 	}
 	slices.Sort(all)
-	t.Logf("active after %s", formatQuantiles(all))
+	t.Logf("active after %s; oldest confirmation %s", formatQuantiles(all), oldest)
 	g.Expect(all[len(all)-1]).To(gomega.BeNumerically("<=", maxPropagationTime))
+	g.Expect(oldest).To(gomega.BeNumerically("<=", maxPropagationTime))
 }
 
 // TestSettingsReachNodesWhileOthersFreezeAndVanish checks that changes accepted right after the
 // return of all replicas are active on each node in time, while nodes that announced them freeze
 // and vanish.
 func TestSettingsReachNodesWhileOthersFreezeAndVanish(t *testing.T) {
-	checkLateness(t, freezeScenarioCount, func(s *lateScenario) []time.Duration { return s.play(s.disturb, 2*time.Second) })
+	checkLateness(t, freezeScenarioCount, lateNodesPerDomain, func(s *lateScenario) []time.Duration { return s.play(s.disturb, 2*time.Second) })
 }
 
 // TestSettingsReachRestOfDomainAfterReplicasReturn checks the same for the few nodes left in a
 // failure domain whose others vanish just before the replicas return, while the few still count
 // them as alive.
 func TestSettingsReachRestOfDomainAfterReplicasReturn(t *testing.T) {
-	checkLateness(t, restScenarioCount, func(s *lateScenario) []time.Duration {
+	checkLateness(t, restScenarioCount, lateNodesPerDomain, func(s *lateScenario) []time.Duration {
 		return s.play(func() { s.stopMost("c", 4) }, 100*time.Millisecond)
 	})
 }
@@ -217,7 +254,7 @@
 // whose replica does not return, while the members that would bring news from the other domains
 // have just vanished.
 func TestSettingsReachDomainWithoutReplicaWhoseLinkMembersVanish(t *testing.T) {
-	checkLateness(t, linkScenarioCount, func(s *lateScenario) []time.Duration {
+	checkLateness(t, linkScenarioCount, lateNodesPerDomain, func(s *lateScenario) []time.Duration {
 		s.goneReplica = "c/replica"
 		return s.play(s.stopLinkMembers, -time.Second)
 	})
--- a/discovery/sim_test.go
+++ b/discovery/sim_test.go
@@ -63,6 +63,8 @@
 	unreachable, isolatedDomains map[string]bool
 	// frozen are the addresses of suspended processes.
 	frozen map[string]bool
+	// replicaAddrs are the addresses of the replicas that ever started.
+	replicaAddrs []string
 	// syncsStarted counts the syncs started by schedulers.
 	syncsStarted int
 }
@@ -128,6 +130,9 @@
 	p.scheduler = New(Options{Self: addr, Domain: domain, Rand: f.rng})
 	p.scheduler.SetBootstrap(f.bootstrapAddrs)
 	f.processes[addr] = p
+	if isReplica(addr) && !slices.Contains(f.replicaAddrs, addr) {
+		f.replicaAddrs = append(f.replicaAddrs, addr)
+	}
 	p.tickGossip()
 	p.runDueSyncs()
 	p.runExchanges()
@@ -293,18 +298,30 @@
 	p.runFetches()
 }
 
-// packetAge returns the age of the settings as packets carry it. Replicas have a quorum.
+// packetAge returns the age of the settings as packets carry it. A replica knows at once if it has
+// the newest version of the replicas that run.
 func (p *simProcess) packetAge() uint32 {
 	at := p.confirmations.ConfirmedAt()
 	switch {
-	case isReplica(p.addr):
+	case isReplica(p.addr) && p.settingsVersion == p.cluster.newestVersion():
 		return 1
-	case at == 0:
+	case isReplica(p.addr) || at == 0:
 		return 0
 	}
 	return uint32((p.uptime() - at).Milliseconds() + 1)
 }
 
+// newestVersion returns the newest version of the replicas that run.
+func (f *simCluster) newestVersion() int {
+	newest := 0
+	for _, addr := range f.replicaAddrs {
+		if p := f.processes[addr]; p != nil {
+			newest = max(newest, p.settingsVersion)
+		}
+	}
+	return newest
+}
+
 // handleAnswer takes the version and the age of the settings from an answer to a ping.
 func (p *simProcess) handleAnswer(a gossip.Answer) {
 	if age := time.Duration(a.Packet.ConfigAge) * time.Millisecond; age > 0 {
@@ -329,6 +346,9 @@
 // askTargets returns the addresses that the process may ask.
 func (p *simProcess) askTargets() confirm.Targets {
 	t := confirm.Targets{OtherReplicas: p.scheduler.ReplicaAddrs()}
+	for _, domain := range p.linkedDomains() {
+		t.LinkMembers = append(t.LinkMembers, p.controlAddrs(domain)...)
+	}
 	for _, addr := range p.scheduler.view.Replicas {
 		if strings.HasPrefix(addr, p.domain+"/") {
 			t.Replicas = append(t.Replicas, addr)
--- a/discovery/small_domains_test.go
+++ b/discovery/small_domains_test.go
@@ -1,11 +1,8 @@
 package discovery
 
 import (
-	"slices"
 	"testing"
 	"time"
-
-	"github.com/onsi/gomega"
 )
 
 const (
@@ -87,21 +84,11 @@
 // of all replicas are active in time on each of a few nodes, while members leave, vanish and
 // freeze, a failure domain is cut off, a replica does not return and seeds change.
 func TestSettingsReachSmallDomainsUnderFaultsAtReturn(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var all []time.Duration
-	for seed := range uint64(smallScenarioCount) {
-		s := newLateScenario(seed, smallNodesPerDomain)
-		late := s.play(func() {
+	checkLateness(t, smallScenarioCount, smallNodesPerDomain, func(s *lateScenario) []time.Duration {
+		return s.play(func() {
 			for range faultsAtReturn {
 				s.after(time.Duration(s.rng.Int64N(int64(faultsBeforeReturn+faultsAfterReturn))), s.injectFaultAtReturn)
 			}
 		}, faultsBeforeReturn)
-		if longest := slices.Max(late); longest > maxPropagationTime {
-			t.Logf("seed %d: longest %s", seed, longest)
-		}
-		all = append(all, late...)
-	}
-	slices.Sort(all)
-	t.Logf("active after %s", formatQuantiles(all))
-	g.Expect(all[len(all)-1]).To(gomega.BeNumerically("<=", maxPropagationTime))
+	})
 }
--- a/internal/node/confirmations.go
+++ b/internal/node/confirmations.go
@@ -49,7 +49,11 @@
 // confirmTargets returns the addresses that this node may ask.
 func (n *Node) confirmTargets() confirm.Targets {
 	t := confirm.Targets{Leader: n.replicas.leaderAddr(configGroup), OtherReplicas: n.gossip.replicaAddrs()}
-	for _, p := range n.view.Load().replicas {
+	v := n.view.Load()
+	for _, d := range v.domains {
+		t.LinkMembers = append(t.LinkMembers, d.ControlAddrs...)
+	}
+	for _, p := range v.replicas {
 		switch {
 		case p.Addr == n.opt.AdvertiseControl:
 		case p.Domain == n.opt.Domain:
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
 	"time"
@@ -178,6 +179,7 @@
 		r.reportViolation("settings", "version %d is not active on every node %s after recovery: %v", newest, settingsTimeout, err)
 		return
 	}
+	r.checkConfirmations()
 	for _, m := range r.fleet.members {
 		var d node.ConfigDocument
 		err := harness.Await(settingsTimeout, func() error {
@@ -194,3 +196,26 @@
 		}
 	}
 }
+
+// maxConfirmationAge is how long ago a quorum may have confirmed a node's settings while nothing
+// is disturbed.
+const maxConfirmationAge = 2 * time.Second
+
+// checkConfirmations checks that each node comes to know that its settings are the newest.
+func (r *soakRun) checkConfirmations() {
+	for _, m := range r.fleet.members {
+		err := harness.Await(settingsTimeout, func() error {
+			var s node.Status
+			if err := ctl.NewClient(m.Admin).Get("/v1/status", nil, &s); err != nil {
+				return err
+			}
+			if s.ConfigConfirmedMs < 0 || s.ConfigConfirmedMs > maxConfirmationAge.Milliseconds() {
+				return fmt.Errorf("last confirmed %d ms ago", s.ConfigConfirmedMs)
+			}
+			return nil
+		})
+		if err != nil {
+			r.reportViolation("settings", "the settings of node %s are not confirmed %s after recovery: %v", m.Name, settingsTimeout, err)
+		}
+	}
+}
