The age of the settings follows a gossip packet, so that releases understand each other

A packet with one more field was rejected by an earlier release ("number of fields in array-encoded struct has changed"), and one of an earlier release by this one: during an upgrade the nodes of two releases would have taken each other for dead. The age now follows the encoded packet, where an earlier release ignores it.

--- a/gossip/core.go
+++ b/gossip/core.go
@@ -106,8 +106,9 @@
 	Config uint64
 	// ConfigAge is how long ago, in milliseconds and at least 1, a quorum of replicas
 	// confirmed that no version was newer than Config, 0 if the sender does not know. The
-	// core does not interpret it.
-	ConfigAge uint32
+	// core does not interpret it. It follows the encoded packet, as earlier releases reject one
+	// with another number of fields.
+	ConfigAge uint32 `msgpack:"-"`
 }
 
 // OutgoingPacket is a packet to send to an address.
--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -266,11 +266,20 @@
 }
 
 // EncodePacket encodes a packet as a datagram.
-func EncodePacket(p Packet) []byte { return codec.Encode(&p) }
+func EncodePacket(p Packet) []byte {
+	b := codec.Encode(&p)
+	if p.ConfigAge > 0 {
+		b = append(b, codec.Encode(p.ConfigAge)...)
+	}
+	return b
+}
 
-// DecodePacket decodes a datagram.
+// DecodePacket decodes a datagram, which may lack the age.
 func DecodePacket(b []byte) (Packet, error) {
 	var p Packet
-	err := codec.Decode(b, &p)
+	rest, err := codec.DecodePrefix(b, &p)
+	if err == nil && len(rest) > 0 {
+		_, err = codec.DecodePrefix(rest, &p.ConfigAge)
+	}
 	return p, err
 }
--- a/gossip/query_test.go
+++ b/gossip/query_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/umberthread/umberthread/internal/codec"
 )
 
 // TestQueryDoesNotMergeMemberships guards against members of one failure domain that become known
@@ -30,3 +32,26 @@
 	g.Expect(asking.Members()).To(gomega.BeEmpty())
 	g.Expect(asked.Members()).To(gomega.HaveLen(1))
 }
+
+// earlierPacket is a packet of an earlier release, which has no age.
+type earlierPacket struct {
+	Kind    PacketKind
+	From    string
+	Seq     uint64
+	Target  string
+	By      string
+	Records []Record
+	Config  uint64
+}
+
+// TestPacketsOfOtherReleasesAreDecoded guards against nodes of two releases that do not
+// understand each other during an upgrade.
+func TestPacketsOfOtherReleasesAreDecoded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p, err := DecodePacket(codec.Encode(&earlierPacket{Kind: Ack, From: "a", Seq: 3, Config: 7}))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(p).To(gomega.Equal(Packet{Kind: Ack, From: "a", Seq: 3, Config: 7}))
+	var earlier earlierPacket
+	g.Expect(codec.Decode(EncodePacket(Packet{Kind: Ack, From: "a", Seq: 3, Config: 7, ConfigAge: 9}), &earlier)).To(gomega.Succeed())
+	g.Expect(earlier).To(gomega.Equal(earlierPacket{Kind: Ack, From: "a", Seq: 3, Config: 7}))
+}
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -28,12 +28,19 @@
 // in it before it allocates memory for them, so that a malformed message cannot
 // exhaust the memory.
 func Decode(b []byte, v any) error {
+	_, err := DecodePrefix(b, v)
+	return err
+}
+
+// DecodePrefix does the same, and returns what follows the message in b.
+func DecodePrefix(b []byte, v any) (rest []byte, err error) {
+	r := bytes.NewReader(b)
 	// A pooled decoder would keep the buffer that a malformed message enlarges.
-	if err := msgpack.NewDecoder(bytes.NewReader(b)).Skip(); err != nil {
-		return fault.Wrap(fault.Protocol, err, "malformed message")
+	if err := msgpack.NewDecoder(r).Skip(); err != nil {
+		return nil, fault.Wrap(fault.Protocol, err, "malformed message")
 	}
 	if err := msgpack.Unmarshal(b, v); err != nil {
-		return fault.Wrap(fault.Protocol, err, "malformed message")
+		return nil, fault.Wrap(fault.Protocol, err, "malformed message")
 	}
-	return nil
+	return b[len(b)-r.Len():], nil
 }
