--- a/discovery/sim_test.go
+++ b/discovery/sim_test.go
@@ -67,6 +67,8 @@
 	replicaAddrs []string
 	// syncsStarted counts the syncs started by schedulers.
 	syncsStarted int
+	// queriesSent counts the queries for a confirmation.
+	queriesSent int
 }
 
 // simProcess is one incarnation of a node.
@@ -338,6 +340,7 @@
 	addrs, wait := p.asker.Next(p.uptime(), p.confirmations.ConfirmedAt(), p.askTargets())
 	for _, addr := range addrs {
 		p.gossip.Query(addr)
+		p.cluster.queriesSent++
 	}
 	p.processGossipOutput()
 	p.cluster.after(wait, func() { p.ifRunning(p.runAsks) })
--- a/gossip/bench_test.go
+++ b/gossip/bench_test.go
@@ -56,3 +56,20 @@
 		runtime.KeepAlive(cores)
 	}
 }
+
+// BenchmarkQuery answers a query as a replica does for each node of its failure domain.
+func BenchmarkQuery(b *testing.B) {
+	c := newLoadedCore(1091)
+	datagram := EncodePacket(Packet{Kind: Query, From: fmt.Sprintf("%016x", 1), Seq: 1 << 20, Config: 1 << 20})
+	b.ReportAllocs()
+	for b.Loop() {
+		p, err := DecodePacket(datagram)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.HandlePacket(time.Second, "10.0.0.2:7002", p)
+		outs, _ := c.TakeOutput()
+		outs[0].Packet.ConfigAge = 100
+		EncodePacket(outs[0].Packet)
+	}
+}
