A body is bounded by the limit by which the entry let the request in

Uploads in chunks ran with half of their body and were answered 200, as the operators lowered the limit meanwhile. Cause: the node beside the backend server read the body up to the limit of its own settings, and its end there looked like the body's end. A body with a length was refused by the same limit, also by a node that had not heard of a higher one.

The entry lets a request in and breaks the body off beyond that limit, which each hop tells from an end (an abort between nodes, a missing last chunk to the backend server). The node beside it applies no limit of its own now. TestUploadIsNotCutAtAnotherLimit: 1,572,865 of 3,145,728 bytes before, all now.

--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -192,8 +192,8 @@
 	}
 }
 
-// recordAnswer reports the ack of a ping or query. One that was relayed tells nothing of the node that was
-// pinged but that it responds.
+// recordAnswer reports the ack of a ping or query. One that was relayed has the relay's version of
+// the settings.
 func (c *Core) recordAnswer(p Packet) {
 	sent, ok := c.pings[p.Seq]
 	if !ok || p.By != "" {
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -482,9 +482,6 @@
 	c.service = serviceOfTarget(c.target)
 	n.bindConfig(c)
 	c.policy = c.conf.tree.Policy(c.target)
-	if c.bodyLen > int64(c.policy.BodyMax) {
-		return nil, n.unlessOutdated(c.conf, fault.New(fault.TooLarge, "the body is larger than this request kind allows"))
-	}
 	if c.bodyLen >= 0 && c.bodyLen <= int64(c.policy.ReplayMax) {
 		c.body = make([]byte, c.bodyLen)
 		if _, err := io.ReadFull(x.Body, c.body); err != nil {
@@ -492,7 +489,9 @@
 		}
 		x.MarkBodyRead()
 	} else {
-		c.stream = io.LimitReader(x.Body, int64(c.policy.BodyMax)+1)
+		// The entry bounds the body by the limit by which it let the request in. A bound of this
+		// node, whose settings may differ, would look to the backend server like the body's end.
+		c.stream = x.Body
 	}
 	return n.runOnLocalBackend(c, c.retryBudget)
 }
