A response without the id, or a success without the seal, is no answer

A response that a backend server sent behind another one, without an id, was delivered as the answer to the next request: a success without a seal, while that request was still executed. Cause: only a response with another id counted as that of another request; a missing mark was taken for consent.

The adapter takes a response for the answer only if it bears the request's id, once, and as a success the seal. Others are read and dropped, and the answer is awaited; the connection is not used again after it. If none comes the request ends at its deadline, without a claim that it did not run.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -177,6 +177,8 @@
 			continue
 		}
 		if matches == nil || matches(resp) {
+			// More may follow on a connection that brought responses to other requests.
+			resp.Close = resp.Close || mismatched > 0
 			return resp, nil
 		}
 		if mismatched++; mismatched > maxMismatchedResponses || !discardMismatched(resp) {
--- a/internal/node/http_adapter.go
+++ b/internal/node/http_adapter.go
@@ -61,7 +61,7 @@
 
 // ResponseClass classifies a backend server's response.
 type ResponseClass struct {
-	// OtherRequest is set if the response belongs to another request.
+	// OtherRequest is set if the response belongs to another request, or to none.
 	OtherRequest bool
 	// NotExecuted is None, or the reason if the backend server certainly did not execute the
 	// request.
