A rejected request is not sent again on a connection that has rejected it

A request that may run once ran twice, or ran and was answered 503, as a backend server sent some of its rejections twice. Cause: the request was offered again on the connection that had just become idle, under the same id, so that the second copy of the rejection was taken for the answer to the second offer.

A connection remembers the requests that were refused or failed on it, until their deadlines; such a request takes another connection, in place of the oldest idle one where no more may be open. What arrives late on the first connection bears another id than the request that uses it then, and is skipped.

Weighed: closing the connection of each rejection (a new connection for each, where most are never sent again, and the users pay for them), no second offer to the same backend server (it may accept it: a server that rejects a part of the requests is offered what all have rejected).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,6 +63,29 @@
 	// keepAliveTimeout is the idle timeout announced by the server, less a
 	// margin; 0 if there is none.
 	keepAliveTimeout time.Duration
+	// refused are the requests that the server refused or failed on this connection and that may
+	// be sent again.
+	refused []refusedRequest
+}
+
+// refusedRequest is a request that the server refused or failed. It may be sent again until its
+// deadline.
+type refusedRequest struct {
+	id       string
+	deadline time.Time
+}
+
+// refuse records a refused request. It forgets those whose deadline has passed.
+func (cn *conn) refuse(r refusedRequest) {
+	now := time.Now()
+	cn.refused = slices.DeleteFunc(cn.refused, func(o refusedRequest) bool { return now.After(o.deadline) })
+	cn.refused = append(cn.refused, r)
+}
+
+// hasRefused reports whether the request was refused on this connection. A duplicate of that
+// response, which may still arrive, would be taken for the answer if the request were sent again.
+func (cn *conn) hasRefused(id string) bool {
+	return id != "" && slices.ContainsFunc(cn.refused, func(r refusedRequest) bool { return r.id == id })
 }
 
 // New returns a client of the backend server at addr.
@@ -116,6 +140,9 @@
 
 // RequestTraits holds properties of a request that are not part of its message.
 type RequestTraits struct {
+	// ID identifies the request in its responses, "" if they bear no id. A request that is sent
+	// again has the same one.
+	ID string
 	// Kind groups requests by expected response time. Values are taken modulo
 	// MaxKinds.
 	Kind uint8
@@ -130,7 +157,7 @@
 // Other responses are read and discarded, as a faulty server may send a
 // duplicate response on a reused connection.
 func (c *Client) Do(s *scope.Scope, t RequestTraits, req *http.Request, matches func(*http.Response) bool) (*Response, error) {
-	cn, err := c.acquire(s)
+	cn, err := c.acquire(s, t.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -145,6 +172,9 @@
 		c.discard(cn)
 		return nil, err
 	}
+	if t.ID != "" && resp.StatusCode >= http.StatusBadRequest {
+		cn.refuse(refusedRequest{t.ID, s.Deadline()})
+	}
 	return &Response{Response: resp, c: c, conn: cn, s: s}, nil
 }
 
@@ -259,12 +289,12 @@
 	return fault.Wrap(fault.BackendLost, err, action+" the backend server").WithUnknownExecution()
 }
 
-// acquire returns an idle connection or a new one. It fails with Overload if
-// MaxConns connections are in use.
-func (c *Client) acquire(s *scope.Scope) (*conn, error) {
+// acquire returns an idle connection or a new one, on which the request was not refused before. It
+// fails with Overload if MaxConns connections are in use.
+func (c *Client) acquire(s *scope.Scope, id string) (*conn, error) {
 	now := time.Now()
 	for {
-		cn, dial, aborted := c.popIdle()
+		cn, dial, aborted := c.popIdle(id)
 		if aborted {
 			return nil, errAborted()
 		}
@@ -307,27 +337,42 @@
 	return limit
 }
 
-// popIdle returns an idle connection if there is one. Otherwise dial reports
-// whether a new connection was reserved, which the caller must dial, and aborted
-// whether Abort was called.
-func (c *Client) popIdle() (cn *conn, dial, aborted bool) {
+// popIdle returns the connection that became idle last and has not refused the request, if there is
+// one. Otherwise dial reports whether a new connection was reserved, which the caller must dial,
+// and aborted whether Abort was called.
+func (c *Client) popIdle(id string) (cn *conn, dial, aborted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.aborted {
 		return nil, false, true
 	}
-	if n := len(c.idle); n > 0 {
-		cn = c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		return cn, false, false
+	for i := len(c.idle) - 1; i >= 0; i-- {
+		if cn = c.idle[i]; !cn.hasRefused(id) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return cn, false, false
+		}
 	}
-	if c.openCount >= c.opt.MaxConns {
+	if c.openCount >= c.opt.MaxConns && !c.closeOldestIdle() {
 		return nil, false, false
 	}
 	c.openCount++
 	return nil, true, false
 }
 
+// closeOldestIdle closes the connection that has been idle longest, to make room for another one. It
+// reports whether there was any. mu must be held.
+func (c *Client) closeOldestIdle() bool {
+	if len(c.idle) == 0 {
+		return false
+	}
+	cn := c.idle[0]
+	c.idle = slices.Delete(c.idle, 0, 1)
+	c.openCount--
+	delete(c.conns, cn)
+	_ = cn.Close()
+	return true
+}
+
 // errAborted returns the error of a request that is not sent because of Abort.
 func errAborted() *fault.Error {
 	return fault.New(fault.BackendLost, "the connections to this run of the backend server were aborted")
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -90,7 +90,7 @@
 	started := time.Now()
 	p.applyEvent(requestEventSend)
 	req, exchange := n.newBackendExchange(be, c, w, retryBudget)
-	httpResp, err := be.client.Do(w.scope, backend.RequestTraits{Kind: kind, Idempotent: c.policy.Idempotent}, req, exchange.accepts)
+	httpResp, err := be.client.Do(w.scope, backend.RequestTraits{ID: exchange.sent.ID, Kind: kind, Idempotent: c.policy.Idempotent}, req, exchange.accepts)
 	if err == nil {
 		n.observeServerState(be, exchange.class.Server)
 	}
