--- a/confirm/asker.go
+++ b/confirm/asker.go
@@ -28,10 +28,9 @@
 type Targets struct {
 	// Leader is the address of the leader that a replica knows, else "".
 	Leader string
-	// Replicas are where replicas are or may be, in the node's own failure domain if any are
-	// there.
+	// Replicas are the known replicas in the node's own failure domain.
 	Replicas []string
-	// OtherReplicas are the same in other failure domains.
+	// OtherReplicas are those in other failure domains, and addresses where a replica may be.
 	OtherReplicas []string
 	// LinkMembers are nodes of other failure domains. They are confirmed by their own replicas,
 	// of which this node may know none.
--- a/internal/node/confirmations.go
+++ b/internal/node/confirmations.go
@@ -77,7 +77,7 @@
 	})
 }
 
-// replicaAddrs returns the addresses where a replica may be that are not known to be up.
+// replicaAddrs returns all addresses where a replica may be, whether one is known there or not.
 func (g *gossiper) replicaAddrs() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
