Relay: replies of a target that was down for a moment are forwarded again

Cause: the relay stopped to forward a target's replies to a sender after one refused datagram, for good, as no real network does.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,10 +3,12 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/umberthread/umberthread/fault"
@@ -222,6 +224,10 @@
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := c.Read(buf)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			// The target is down; it may start again.
+			continue
+		}
 		if err != nil {
 			return
 		}
