A connection remembers its rejections for as long as it is used, at most 64

Callers saw a request answered 503 that had run: it was rejected, its deadline passed, it was sent again under the same id, and a duplicate of the first rejection arrived then. Cause: a connection forgot a rejection at the request's deadline, though a duplicate may come at any later time. TestRejectionThatArrivesAfterTheDeadlineIsNotAnAnswer failed before (503, executed).

The record was also bounded by nothing but the deadlines: with 5 s, 10,000 rejections a second on one connection left 50,000 ids there, which each request searched under the client's lock. TestRejectionsTakeBoundedMemory failed before.

A connection keeps hashes of the ids, at most 64, and is closed after the 64th rejection: one new connection for 64 rejections. TestRefusedRequestsAreForgotten is replaced: it asked that a rejection be forgotten at the deadline, which is the fault; the bound that it guarded is the new test's, for every length of deadline.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -8,6 +8,7 @@
 import (
 	"bufio"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -63,30 +64,33 @@
 	// keepAliveTimeout is the idle timeout announced by the server, less a
 	// margin; 0 if there is none.
 	keepAliveTimeout time.Duration
-	// refused are the requests that the server refused or failed on this connection and that may
-	// be sent again.
-	refused []refusedRequest
+	// refused are the requests that the server refused or failed on this connection, at most
+	// maxRefused.
+	refused []requestHash
 }
 
-// refusedRequest is a request that the server refused or failed. It may be sent again until its
-// deadline.
-type refusedRequest struct {
-	id       string
-	deadline time.Time
-}
+// maxRefused is the number of refused requests after which a connection is not used again. It bounds
+// the memory of a connection, the search in it, and the share of refusals that cost a new one.
+const maxRefused = 64
 
-// refuse records a refused request. It forgets those whose deadline has passed.
-func (cn *conn) refuse(r refusedRequest) {
-	now := time.Now()
-	cn.refused = slices.DeleteFunc(cn.refused, func(o refusedRequest) bool { return now.After(o.deadline) })
-	cn.refused = append(cn.refused, r)
+// requestHash is a hash of a request's id, 0 for none. Equal hashes of two ids cost a connection at
+// most.
+type requestHash uint64
+
+var requestHashSeed = maphash.MakeSeed()
+
+// hashRequest returns the hash of a request's id.
+func hashRequest(id string) requestHash {
+	if id == "" {
+		return 0
+	}
+	return requestHash(max(1, maphash.String(requestHashSeed, id)))
 }
 
 // hasRefused reports whether the request was refused on this connection. A duplicate of that
-// response, which may still arrive, would be taken for the answer if the request were sent again.
-func (cn *conn) hasRefused(id string) bool {
-	return id != "" && slices.ContainsFunc(cn.refused, func(r refusedRequest) bool { return r.id == id })
-}
+// response, which may arrive at any later time, would be taken for the answer if the request were
+// sent again.
+func (cn *conn) hasRefused(id requestHash) bool { return id != 0 && slices.Contains(cn.refused, id) }
 
 // New returns a client of the backend server at addr.
 func New(addr string, o Options) *Client {
@@ -128,7 +132,7 @@
 		return
 	}
 	r.s.StopInterrupt()
-	if r.IsComplete() && !r.Response.Close && r.s.Err() == fault.None {
+	if r.IsComplete() && !r.Response.Close && r.s.Err() == fault.None && len(r.conn.refused) < maxRefused {
 		_ = r.conn.SetDeadline(time.Time{})
 		r.conn.keepAliveTimeout = parseKeepAlive(r.Header.Get("Keep-Alive"))
 		r.c.putIdle(r.conn)
@@ -157,7 +161,8 @@
 // Other responses are read and discarded, as a faulty server may send a
 // duplicate response on a reused connection.
 func (c *Client) Do(s *scope.Scope, t RequestTraits, req *http.Request, matches func(*http.Response) bool) (*Response, error) {
-	cn, err := c.acquire(s, t.ID)
+	id := hashRequest(t.ID)
+	cn, err := c.acquire(s, id)
 	if err != nil {
 		return nil, err
 	}
@@ -172,8 +177,8 @@
 		c.discard(cn)
 		return nil, err
 	}
-	if t.ID != "" && resp.StatusCode >= http.StatusBadRequest {
-		cn.refuse(refusedRequest{t.ID, s.Deadline()})
+	if id != 0 && resp.StatusCode >= http.StatusBadRequest {
+		cn.refused = append(cn.refused, id)
 	}
 	return &Response{Response: resp, c: c, conn: cn, s: s}, nil
 }
@@ -291,7 +296,7 @@
 
 // acquire returns an idle connection or a new one, on which the request was not refused before. It
 // fails with Overload if MaxConns connections are in use.
-func (c *Client) acquire(s *scope.Scope, id string) (*conn, error) {
+func (c *Client) acquire(s *scope.Scope, id requestHash) (*conn, error) {
 	now := time.Now()
 	for {
 		cn, dial, aborted := c.popIdle(id)
@@ -340,7 +345,7 @@
 // popIdle returns the connection that became idle last and has not refused the request, if there is
 // one. Otherwise dial reports whether a new connection was reserved, which the caller must dial,
 // and aborted whether Abort was called.
-func (c *Client) popIdle(id string) (cn *conn, dial, aborted bool) {
+func (c *Client) popIdle(id requestHash) (cn *conn, dial, aborted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.aborted {
--- a/internal/backend/resend_test.go
+++ b/internal/backend/resend_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,15 +16,16 @@
 	"github.com/umberthread/umberthread/internal/scope"
 )
 
-// rejectingServer is a faulty server that rejects the first request of each connection, and sends
-// that rejection once more before its next response there.
+// rejectingServer is a faulty server that rejects its first requests, and sends each rejection once
+// more before the next other response on its connection.
 type rejectingServer struct {
 	addr     string
+	accepted atomic.Int64
 	executed atomic.Int64
 }
 
 // startRejectingServer starts the server, which rejects only the given number of requests.
-func startRejectingServer(t *testing.T, rejections int64) *rejectingServer {
+func startRejectingServer(t testing.TB, rejections int64) *rejectingServer {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -37,6 +39,7 @@
 			if err != nil {
 				return
 			}
+			s.accepted.Add(1)
 			go s.serve(c, func() bool { return rejected.Add(1) <= rejections })
 		}
 	}()
@@ -56,7 +59,7 @@
 		if reject() {
 			rejection := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Id"))
 			_, _ = io.WriteString(c, rejection)
-			pending = rejection
+			pending += rejection
 			continue
 		}
 		s.executed.Add(1)
@@ -66,11 +69,14 @@
 }
 
 // send sends a request with an id and returns the status.
-func send(g *gomega.WithT, c *Client, id string) int {
+func send(g *gomega.WithT, c *Client, id string) int { return sendWithin(g, c, id, 2*time.Second) }
+
+// sendWithin does the same with a time until the request's deadline.
+func sendWithin(g *gomega.WithT, c *Client, id string, limit time.Duration) int {
 	req := request("/x", nil)
 	req.Header.Set("Id", id)
 	matches := func(r *http.Response) bool { return r.Header.Get("Id") == id }
-	resp, err := c.Do(scope.New(time.Now().Add(2*time.Second)), RequestTraits{ID: id, Kind: 1}, req, matches)
+	resp, err := c.Do(scope.New(time.Now().Add(limit)), RequestTraits{ID: id, Kind: 1}, req, matches)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer resp.Close()
 	_, _ = io.Copy(io.Discard, resp)
@@ -110,14 +116,56 @@
 	g.Expect(c.openCount).To(gomega.Equal(1))
 }
 
-// TestRefusedRequestsAreForgotten guards against memory that grows with each rejection.
-func TestRefusedRequestsAreForgotten(t *testing.T) {
+// TestRejectionThatArrivesAfterTheDeadlineIsNotAnAnswer guards against a request that is executed
+// while it counts as rejected: its caller sends it again once its first deadline has passed, and a
+// duplicate of the first rejection arrives.
+func TestRejectionThatArrivesAfterTheDeadlineIsNotAnAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startRejectingServer(t, 2)
+	c := New(s.addr, options())
+	defer c.CloseIdleConnections()
+	const deadline = 50 * time.Millisecond
+	g.Expect(sendWithin(g, c, "r1", deadline)).To(gomega.Equal(503))
+	time.Sleep(2 * deadline)
+	g.Expect(send(g, c, "r2")).To(gomega.Equal(503))
+	g.Expect(send(g, c, "r1")).To(gomega.Equal(200))
+	g.Expect(s.executed.Load()).To(gomega.Equal(int64(1)))
+}
+
+// TestRejectionsTakeBoundedMemory guards against a record of rejected requests that grows, and is
+// searched for longer, the more requests a backend server rejects; and against a new connection for
+// each of them.
+func TestRejectionsTakeBoundedMemory(t *testing.T) {
 	g := gomega.NewWithT(t)
-	var cn conn
-	cn.refuse(refusedRequest{"past", time.Now().Add(-time.Millisecond)})
-	cn.refuse(refusedRequest{"now", time.Now().Add(time.Minute)})
-	g.Expect(cn.hasRefused("past")).To(gomega.BeFalse())
-	g.Expect(cn.hasRefused("now")).To(gomega.BeTrue())
-	g.Expect(cn.hasRefused("")).To(gomega.BeFalse())
-	g.Expect(cn.refused).To(gomega.HaveLen(1))
+	const rejections = 5000
+	s := startRejectingServer(t, rejections)
+	c := New(s.addr, options())
+	defer c.CloseIdleConnections()
+	for i := range rejections {
+		g.Expect(send(g, c, fmt.Sprint("r", i))).To(gomega.Equal(503))
+		for _, cn := range c.idle {
+			g.Expect(len(cn.refused)).To(gomega.BeNumerically("<=", maxRefused))
+		}
+	}
+	g.Expect(s.accepted.Load()).To(gomega.BeNumerically("<=", rejections/maxRefused+1))
+}
+
+// BenchmarkRejectedRequest measures a rejected request at the end of a series of rejections, all of
+// which may be sent again within a deadline of 5 s: a second of 1,000 or 10,000 of them.
+func BenchmarkRejectedRequest(b *testing.B) {
+	for _, perSecond := range []int{1000, 10000} {
+		b.Run(fmt.Sprint(perSecond, "-per-second"), func(b *testing.B) {
+			s := startRejectingServer(b, math.MaxInt64)
+			c := New(s.addr, options())
+			defer c.CloseIdleConnections()
+			const deadline = 5 * time.Second
+			g := gomega.NewWithT(b)
+			for i := range perSecond * int(deadline/time.Second) {
+				sendWithin(g, c, fmt.Sprint("before", i), time.Minute)
+			}
+			for i := 0; b.Loop(); i++ {
+				sendWithin(g, c, fmt.Sprint("r", i), time.Minute)
+			}
+		})
+	}
 }
