An upload that its caller breaks off is no failure of the backend server

Two things callers and operators saw when a streamed body ended early, both from one cause: - An upload that went beyond the limit half-way was answered 502 backend-lost by the entry's own backend server, and 400 by another's, instead of 413. - Each upload that a caller broke off counted as a request during which the backend server was lost: 10 of 10 stood in the list from which requests that end servers are found, and the node opened a connection to see whether the server was gone.

Cause: the client of the backend server did not tell an error of reading the body from an error of the connection. It keeps the body's error now; the request fails as bad-request with unknown execution, the server gets an incomplete message, and the node that let the request in names the limit if that is the reason. TestUploadBeyondItsLimitIsNotExecuted (413 in place of any failure), TestUploadBeyondItsLimitAtItsOwnNode and TestBrokenOffUploadIsNoFailureOfTheBackendServer failed before.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -187,11 +187,8 @@
 // response.
 func (c *Client) roundTrip(s *scope.Scope, cn *conn, t RequestTraits, req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
 	_ = cn.SetDeadline(s.Deadline())
-	if err := req.Write(cn.bw); err != nil {
-		return nil, c.wrapError(s, err, "sending to")
-	}
-	if err := cn.bw.Flush(); err != nil {
-		return nil, c.wrapError(s, err, "sending to")
+	if err := c.send(s, cn, req); err != nil {
+		return nil, err
 	}
 	if s.Err() != fault.None {
 		return nil, fault.New(s.Err(), "given up while waiting").WithUnknownExecution()
@@ -222,6 +219,44 @@
 	}
 }
 
+// send writes a request to a connection. If its body cannot be read, the server gets an incomplete
+// message, and the error is BadRequest with the cause: the server has not failed.
+func (c *Client) send(s *scope.Scope, cn *conn, req *http.Request) error {
+	var body *bodySource
+	if req.Body != nil {
+		body = &bodySource{ReadCloser: req.Body}
+		req.Body = body
+	}
+	err := req.Write(cn.bw)
+	if err == nil {
+		err = cn.bw.Flush()
+	}
+	switch {
+	case err == nil:
+		return nil
+	case body != nil && body.err != nil && s.Err() == fault.None:
+		return fault.Wrap(fault.BadRequest, body.err, "cannot read the request body").WithUnknownExecution()
+	default:
+		return c.wrapError(s, err, "sending to")
+	}
+}
+
+// bodySource is a request body that keeps the error with which reading it failed, to tell that from
+// an error of the connection.
+type bodySource struct {
+	io.ReadCloser
+	err error
+}
+
+// Read implements io.Reader.
+func (b *bodySource) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		b.err = err
+	}
+	return n, err
+}
+
 const (
 	// maxMismatchedResponses is the number of responses to other requests that
 	// are discarded per request.
--- a/internal/node/body_limit_test.go
+++ b/internal/node/body_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -103,6 +104,51 @@
 	const size = 3 << 20
 	entry, beside := startUploadPair(t, size/2, 8<<20)
 	status, answer := entry.upload("up", size, func() { time.Sleep(50 * time.Millisecond) })
-	g.Expect(status).NotTo(gomega.Equal(http.StatusOK), answer)
+	g.Expect(status).To(gomega.Equal(http.StatusRequestEntityTooLarge), answer)
 	g.Consistently(func() int64 { return beside.Status().Served }, "300ms").Should(gomega.BeZero())
 }
+
+// TestUploadBeyondItsLimitAtItsOwnNode guards against an upload beyond the limit that the entry's own
+// backend server takes for complete, or that is answered as if that server were lost.
+func TestUploadBeyondItsLimitAtItsOwnNode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const size = 3 << 20
+	n := startNode(t, "suva-a", nil, nil)
+	useSettings(t, uploadLimit(size/2), n)
+	startStandin(t, n, "suva/doc-vault", 4, map[string]standin.KindBehavior{"upload": {ResponseBytes: 64}})
+	n.awaitInstances("suva/doc-vault", 1)
+	status, answer := n.upload("up", size, func() { time.Sleep(50 * time.Millisecond) })
+	g.Expect(status).To(gomega.Equal(http.StatusRequestEntityTooLarge), answer)
+	g.Expect(n.Status().Served).To(gomega.BeZero())
+	g.Expect(n.brokenRequests()).To(gomega.BeZero())
+}
+
+// TestBrokenOffUploadIsNoFailureOfTheBackendServer guards against a backend server that is ejected, or
+// a request that counts as one that ends servers, as callers break off their uploads.
+func TestBrokenOffUploadIsNoFailureOfTheBackendServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const size = 3 << 20
+	entry, beside := startUploadPair(t, 8<<20, 8<<20)
+	for i := range 10 {
+		body := fmt.Sprintf("POST /call/suva/doc-vault/upload HTTP/1.1\r\nHost: x\r\nUmber-Request-Id: cut%d\r\nContent-Length: %d\r\n\r\n%s",
+			i, size, strings.Repeat("x", size/2))
+		conn, err := net.Dial("tcp", entry.opt.HTTP)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.WriteString(conn, body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_ = conn.Close()
+	}
+	g.Eventually(func() int64 { return entry.stats.inflight.Load() }, "5s").Should(gomega.BeZero())
+	g.Eventually(func() int { return beside.gate.load().inflight }, "5s").Should(gomega.BeZero())
+	g.Expect(beside.brokenRequests()).To(gomega.BeZero())
+	g.Expect(beside.Status().Served).To(gomega.BeZero())
+	status, answer := entry.upload("whole", size, nil)
+	g.Expect(status).To(gomega.Equal(http.StatusOK), answer)
+}
+
+// brokenRequests returns how many requests the node counts as broken by its backend server.
+func (n *testNode) brokenRequests() int {
+	n.quarantine.mu.Lock()
+	defer n.quarantine.mu.Unlock()
+	return len(n.quarantine.brokenRequests)
+}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -59,6 +59,7 @@
 	}
 	for {
 		resp, in, ferr := n.attempt(c)
+		ferr = n.nameBodyLimit(c, ferr)
 		if in != nil && (ferr != nil || resp.status >= http.StatusInternalServerError) {
 			c.recordFailedAttempt(in.Addr, ferr, statusOf(resp))
 		}
