A stray response with a wrong length holds its caller for half a second, not until the deadline

A backend server that sends a response to nobody whose length is too great swallows the answer behind it: the caller waited until its deadline (10.0 s of 10 s) for bytes that never came, also where the request may be sent again. So with chunks without an end. Cause: the body of a response that belongs to another request was read until the request's deadline.

It gets 500 ms. The request fails as protocol with unknown execution then, and is sent again if it may be. While the answer is awaited behind such a response, the server is probed as before the first byte; the time that counts for the kind is that of the answer.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -195,11 +195,11 @@
 	}
 	sent := time.Now()
 	times := &c.firstByteTimes[t.Kind%MaxKinds]
-	if err := c.awaitFirstByte(s, cn, times, t.Idempotent); err != nil {
-		return nil, err
-	}
-	times.record(time.Since(sent))
 	for mismatched := 0; ; {
+		if err := c.awaitFirstByte(s, cn, times, t.Idempotent); err != nil {
+			return nil, err
+		}
+		arrived := time.Now()
 		resp, err := http.ReadResponse(cn.br, req)
 		if err != nil {
 			return nil, c.wrapError(s, err, "reading from")
@@ -209,11 +209,15 @@
 			continue
 		}
 		if matches == nil || matches(resp) {
+			times.record(arrived.Sub(sent))
 			// More may follow on a connection that brought responses to other requests.
 			resp.Close = resp.Close || mismatched > 0
 			return resp, nil
 		}
-		if mismatched++; mismatched > maxMismatchedResponses || !discardMismatched(resp) {
+		if mismatched++; mismatched > maxMismatchedResponses || !discardMismatched(s, cn, resp) {
+			if s.Err() != fault.None {
+				return nil, c.wrapError(s, nil, "reading from")
+			}
 			return nil, fault.New(fault.Protocol, "the response belongs to another request").WithUnknownExecution()
 		}
 	}
@@ -263,14 +267,21 @@
 	maxMismatchedResponses = 2
 	// maxMismatchedBodyBytes bounds the body of such a response.
 	maxMismatchedBodyBytes = 1 << 20
+	// mismatchedBodyTimeout bounds the time to read it. One that takes longer has a wrong length:
+	// it waits for bytes of the next response, or already holds the answer.
+	mismatchedBodyTimeout = 500 * time.Millisecond
 )
 
 // discardMismatched reads the body of a response to another request. It reports
 // whether the connection can still be used.
-func discardMismatched(resp *http.Response) bool {
+func discardMismatched(s *scope.Scope, cn *conn, resp *http.Response) bool {
 	if resp.Close || resp.ContentLength > maxMismatchedBodyBytes {
 		return false
 	}
+	deadline := time.Now().Add(mismatchedBodyTimeout)
+	if deadline.Before(s.Deadline()) {
+		_ = cn.SetReadDeadline(deadline)
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxMismatchedBodyBytes))
 	return err == nil && n < maxMismatchedBodyBytes
 }
