The target of a request reaches the backend server byte for byte

A path that begins with two slashes reached the backend server as "://..." (its caller got 502), as net/http takes the beginning of such an opaque URL for a host. With the project's own interface the path was decoded on the way: "a%2Fb" arrived as "a/b", "a%3Fb" as a query.

The target is taken as the caller wrote it, in origin form, and sent by a URL of which net/http makes exactly that; one for which there is none (two slashes and a character that no path has) is refused as a bad request, at the entry and beside the backend server.

--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -480,6 +480,9 @@
 	if !ok || target != c.target {
 		return nil, fault.New(fault.BadRequest, "malformed target")
 	}
+	if ferr := n.checkTarget(c); ferr != nil {
+		return nil, ferr
+	}
 	c.service = serviceOfTarget(c.target)
 	n.bindConfig(c)
 	c.policy = c.conf.tree.Policy(c.target)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -83,14 +83,18 @@
 // looks up its policy. A request with a call token becomes a nested call of the execution that
 // the token names.
 func (n *Node) parseDirectRequest(r *http.Request) (*call, *fault.Error) {
-	target, rest, ok := splitTarget(strings.TrimPrefix(r.URL.Path, callPrefix))
+	path, query, hasQuery := strings.Cut(originTarget(r), "?")
+	target, rest, ok := splitTarget(strings.TrimPrefix(path, callPrefix))
 	if !ok {
 		return nil, fault.New(fault.BadRequest, "the path must be /call/fleet/service/kind")
 	}
-	if r.URL.RawQuery != "" {
-		rest += "?" + r.URL.RawQuery
+	if hasQuery {
+		rest += "?" + query
 	}
 	c := &call{target: target, service: serviceOfTarget(target), method: r.Method, path: rest, started: time.Now()}
+	if ferr := n.checkTarget(c); ferr != nil {
+		return nil, ferr
+	}
 	c.policy, ok = n.bindConfig(c).tree.KindPolicy(target)
 	if !ok {
 		return nil, n.unlessOutdated(c.conf, unknownTarget(c.conf, c))
--- a/internal/node/http_adapter.go
+++ b/internal/node/http_adapter.go
@@ -77,9 +77,12 @@
 // parseRoutedRequest creates the call for a request of a platform's caller: its host and path
 // select the request kind.
 func (n *Node) parseRoutedRequest(r *http.Request) (*call, *fault.Error) {
-	c := &call{method: r.Method, path: r.RequestURI, started: time.Now()}
+	c := &call{method: r.Method, path: originTarget(r), started: time.Now()}
 	callerReq, ferr := n.opt.HTTPAdapter.ParseRequest(r)
 	c.id, c.caller = callerReq.ID, callerReq.Caller
+	if ferr == nil {
+		ferr = n.checkTarget(c)
+	}
 	if ferr != nil {
 		return c, ferr
 	}
@@ -164,7 +167,8 @@
 	}
 	f := BackendRequest{ID: c.id, Remaining: c.scope.Remaining(), Instance: be.instance, Workspace: c.workspace}
 	n.opt.HTTPAdapter.SetRequestHeaders(h, f)
-	return &http.Request{Method: c.method, URL: opaqueURL(c.path), Host: host, Header: h, ContentLength: c.bodyLen}, f
+	u, _ := exactURL(n.backendTarget(c))
+	return &http.Request{Method: c.method, URL: u, Host: host, Header: h, ContentLength: c.bodyLen}, f
 }
 
 // maxBufferedResponse is the size in bytes up to which a response is read before its head is
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -229,9 +227,6 @@
 	return e
 }
 
-// opaqueURL returns a URL that is sent exactly as the caller wrote it.
-func opaqueURL(target string) *url.URL { return &url.URL{Opaque: target} }
-
 // appendExecutionHeader passes on HeaderExecution, so that other nodes don't attribute the
 // failure of a nested call to this instance.
 func appendExecutionHeader(fs []wireField, h http.Header) []wireField {
@@ -268,11 +263,7 @@
 
 // newBackendRequest builds the request in the project's own HTTP interface.
 func (n *Node) newBackendRequest(be *localBackend, c *call, w *execution, retryBudget *budget.Pool) *http.Request {
-	kind := c.target[strings.LastIndexByte(c.target, '/'):]
-	u, err := url.ParseRequestURI(kind + c.path)
-	if err != nil {
-		u = &url.URL{Path: kind}
-	}
+	u, _ := exactURL(n.backendTarget(c))
 	h := make(http.Header, len(c.header)+5)
 	for _, f := range c.header {
 		if f.Name != workspaceField {
