Responses of the project's own interface can bear the call token, and then must

With the project's own interface a response to nobody was delivered as the answer to the request that came next on its connection: it had no mark at all by which to tell.

A backend server may send Umber-Call back. Once it has, a response in which it is absent, empty, another or doubled is no answer. Servers that don't send it are served as before.

--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -131,9 +131,10 @@
 		leaseExpires: time.Now().Add(n.opt.Lease.Duration),
 	}
 	if old != nil {
-		next.chartState, next.incarnation, next.leaving, next.heard = old.chartState, old.incarnation, old.leaving, old.heard
+		next.chartState, next.incarnation, next.leaving = old.chartState, old.incarnation, old.leaving
+		next.heard, next.marks = old.heard, old.marks
 	} else {
-		next.heard = &atomic.Bool{}
+		next.heard, next.marks = &atomic.Bool{}, &atomic.Bool{}
 		n.resetRateLimitUnlessOf(incarnationID{a.Instance, a.StartedAtMs})
 		n.backendIncarnations++
 		next.incarnation = n.backendIncarnations
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -40,8 +40,9 @@
 	client       *backend.Client
 	// leaving is set once a response of this incarnation said that it is about to shut down.
 	leaving bool
-	// heard is set once a response of this incarnation was received. Copies share it.
-	heard *atomic.Bool
+	// heard is set once a response of this incarnation was received, and marks once one bore the
+	// call token of its request. Copies share them.
+	heard, marks *atomic.Bool
 }
 
 // runOnLocalBackend executes a call on the local backend server. It takes an admission slot,
@@ -168,27 +169,45 @@
 	return n.newToken()
 }
 
-// backendExchange is one request to the backend server and the classification of its response.
+// backendExchange is one request to the backend server and the classification of its response. sent
+// is what an adapter made of it, and token the call token in the project's own interface.
 type backendExchange struct {
-	node  *Node
-	sent  BackendRequest
-	class ResponseClass
+	node    *Node
+	backend *localBackend
+	token   string
+	sent    BackendRequest
+	class   ResponseClass
 }
 
 // accepts classifies a response and reports whether it belongs to the request.
 func (x *backendExchange) accepts(r *http.Response) bool {
 	if x.node.opt.HTTPAdapter == nil {
 		x.class.Server = ReadServerState(r.Header, HeaderRateLimit, HeaderLeaving)
-		return true
+		return x.bearsToken(r.Header)
 	}
 	x.class = x.node.opt.HTTPAdapter.ClassifyResponse(r, x.sent)
 	return !x.class.OtherRequest
 }
 
+// bearsToken reports whether a response in the project's own interface belongs to the request. A
+// backend server need not send the call token back; one that has done so does it in each response.
+func (x *backendExchange) bearsToken(h http.Header) bool {
+	switch tokens := h[HeaderCallToken]; {
+	case len(tokens) == 0:
+		return !x.backend.marks.Load()
+	case len(tokens) > 1 || tokens[0] != x.token:
+		return false
+	}
+	if !x.backend.marks.Load() {
+		x.backend.marks.Store(true)
+	}
+	return true
+}
+
 // newBackendExchange builds the HTTP request for the backend server, and the exchange that
 // checks its response.
 func (n *Node) newBackendExchange(be *localBackend, c *call, w *execution, retryBudget *budget.Pool) (*http.Request, *backendExchange) {
-	x := &backendExchange{node: n}
+	x := &backendExchange{node: n, backend: be, token: w.token}
 	var req *http.Request
 	if n.opt.HTTPAdapter != nil {
 		req, x.sent = n.newPlatformRequest(be, c)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -361,6 +361,7 @@
 	}
 	f := s.faults.Load()
 	f.setHeader(w.Header())
+	w.Header().Set("Umber-Call", r.Header.Get("Umber-Call"))
 	defer s.recordSaid(f)
 	if f.FailureRate > 0 && rand.Float64() < f.FailureRate {
 		http.Error(w, "failed", http.StatusInternalServerError)
