An announcement of another server does not replace a live backend server

An announcement with an unknown identity, from the same place and of any service, replaced the registered backend server and retired it: its own announcements were ignored for a minute, in which its requests got 503, and requests in flight were broken off. So did a late announcement of an earlier process after a restart of the node. Cause: whoever announced itself last counted as the server beside the node.

While the lease of the known one holds, another one needs evidence that it has ended: the answer to a health request names the other one, or, where that tells nothing, no connection to the known one is open any more; a process that has ended leaves none. A new process at the address of a crashed one is taken at once as before (TestNewIncarnationReplacesOneThatHasEnded). Two identities at once are rare, so are these health requests. What is left: a server to which no connection was ever opened, on a platform without health requests, is still replaced.

TestForeignAnnouncementDoesNotReplaceALiveBackendServer failed before, in each of its three forms.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -331,6 +331,19 @@
 	return true
 }
 
+// HasOpenConnection reports whether the server has left a connection open, so that the process to
+// which it was opened runs.
+func (c *Client) HasOpenConnection() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for cn := range c.conns {
+		if sock.IsOpen(cn.Conn) {
+			return true
+		}
+	}
+	return false
+}
+
 // wrapError returns the error of a request that may have been executed: the end
 // of its scope if that is the cause, or BackendLost.
 func (c *Client) wrapError(s *scope.Scope, err error, action string) *fault.Error {
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -73,33 +73,60 @@
 }
 
 // Announce validates and applies an announcement of this node's backend server. A
-// Weight of 0 is replaced by 1. Outdated announcements are ignored.
+// Weight of 0 is replaced by 1. Outdated announcements are ignored, and those of an
+// unknown server against which there is evidence.
 func (n *Node) Announce(a *Announcement) *fault.Error {
+	state, ferr := validateAnnouncement(a)
+	if ferr != nil {
+		return ferr
+	}
+	if n.contradicts(a, state) {
+		if n.contradictionLog.allow(n.clock(), 1) {
+			n.warn("backend", "Ignored the announcement of another server than the one at this node.", "service", a.Service, "instance", a.Instance)
+		}
+		return nil
+	}
+	n.applyAnnouncement(a, state)
+	return nil
+}
+
+// AnnounceRecovered does the same for an announcement that follows from an answer to a
+// health request.
+func (n *Node) AnnounceRecovered(a *Announcement) *fault.Error {
+	state, ferr := validateAnnouncement(a)
+	if ferr == nil {
+		n.applyAnnouncement(a, state)
+	}
+	return ferr
+}
+
+// validateAnnouncement checks an announcement and returns its state. It replaces a weight
+// of 0.
+func validateAnnouncement(a *Announcement) (member.State, *fault.Error) {
 	state, ok := member.ParseState(a.State)
 	if !ok || state == member.Absent {
-		return fault.Newf(fault.BadRequest, "state = %q; allowed are starting, serving and draining", a.State)
+		return 0, fault.Newf(fault.BadRequest, "state = %q; allowed are starting, serving and draining", a.State)
 	}
 	if !isServiceName(a.Service) {
-		return fault.Newf(fault.BadRequest, "service = %q; allowed is fleet/service", a.Service)
+		return 0, fault.Newf(fault.BadRequest, "service = %q; allowed is fleet/service", a.Service)
 	}
 	host, _, err := net.SplitHostPort(a.Address)
 	if err != nil || net.ParseIP(host) == nil {
-		return fault.Newf(fault.BadRequest, "address = %q; allowed is an IP number and a port", a.Address)
+		return 0, fault.Newf(fault.BadRequest, "address = %q; allowed is an IP number and a port", a.Address)
 	}
 	if a.Slots < 1 || a.Slots > member.MaxSlots || a.Connections < a.Slots {
-		return fault.Newf(fault.BadRequest, "slots = %d, connections = %d; allowed are 1 to %d slots and at least as many connections", a.Slots, a.Connections, member.MaxSlots)
+		return 0, fault.Newf(fault.BadRequest, "slots = %d, connections = %d; allowed are 1 to %d slots and at least as many connections", a.Slots, a.Connections, member.MaxSlots)
 	}
 	if a.Weight < 0 || a.Weight > member.MaxWeight {
-		return fault.Newf(fault.BadRequest, "weight = %v; allowed is 0 to %d", a.Weight, member.MaxWeight)
+		return 0, fault.Newf(fault.BadRequest, "weight = %v; allowed is 0 to %d", a.Weight, member.MaxWeight)
 	}
 	if a.Weight == 0 {
 		a.Weight = 1
 	}
 	if a.StartedAtMs < 0 {
-		return fault.Newf(fault.BadRequest, "born = %d; allowed are milliseconds of the Unix time", a.StartedAtMs)
+		return 0, fault.Newf(fault.BadRequest, "born = %d; allowed are milliseconds of the Unix time", a.StartedAtMs)
 	}
-	n.applyAnnouncement(a, state)
-	return nil
+	return state, nil
 }
 
 // isServiceName reports whether s has the form fleet/service.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,10 +100,12 @@
 	requestLog requestLogLimiter
 	// rateLimitLog limits the log lines about the backend server's rate limit.
 	rateLimitLog lineLimiter
-	lastOverload atomic.Pointer[overloadPeriod]
-	traces       *recentItems[Trace]
-	events       *recentItems[Event]
-	burn         *burn.Tracker
+	// contradictionLog limits the log lines about announcements of other servers.
+	contradictionLog lineLimiter
+	lastOverload     atomic.Pointer[overloadPeriod]
+	traces           *recentItems[Trace]
+	events           *recentItems[Event]
+	burn             *burn.Tracker
 
 	// serverReports holds what other nodes report of their backend servers.
 	serverReports serverReports
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -93,6 +93,9 @@
 	// HTTPAdapter replaces the default HTTP interface to callers and backend servers; nil
 	// keeps the default.
 	HTTPAdapter HTTPAdapter `toml:"-"`
+	// CheckBackend sends a health request to the backend server at an address; nil if there are no
+	// such requests. It must return within a fraction of the interval of announcements.
+	CheckBackend func(addr, path string) BackendHealth `toml:"-"`
 	// wrapLog lets tests wrap the log of a group.
 	wrapLog func(replicaLog) replicaLog
 	// disk lets tests replace the file system of the data folder.
