After its restart a node checks whom an announcement names

A backend server withdrew and served on; the node beside it was killed and started again, and a late announcement from before the withdrawal brought the server back: it got its full share of new requests until it ended. Cause: what a node knows of withdrawals and earlier processes is in its memory, and after a restart it believed whatever arrived.

For a minute after the start of a process that replaces an earlier one (for so long the records of withdrawn servers are kept) a server that the node does not know is asked by a health request; if it says that it does not serve, or is another one, the announcement is ignored. No answer, or a rejection for lack of room, leaves it as before. Before there are settings that tell how to ask, it is ignored: the next one comes within a second, and no request is served without settings.

TestAnnouncementAfterARestartIsChecked and the spec "sends no requests to a withdrawn backend server that a late announcement names after its node has restarted" failed before.

--- a/internal/node/announce_check.go
+++ b/internal/node/announce_check.go
@@ -17,22 +17,39 @@
 	Instance string
 }
 
+// restartDoubtTime is how long after the restart of a node an announcement may be older than what
+// the earlier process knew. It is that of the records of retired incarnations, which are lost then.
+const restartDoubtTime = incarnationRecordTTL
+
 // contradicts reports whether there is evidence against an announcement of a backend server that this
 // node does not know: it arrived late, or is not of the server beside this node. It may send a health
 // request.
-func (n *Node) contradicts(a *Announcement, _ member.State) bool {
+func (n *Node) contradicts(a *Announcement, state member.State) bool {
 	be := n.local.Load()
 	switch {
 	case a.Instance == "":
 		return false
 	case be == nil:
-		return false
+		return state != member.Draining && n.opt.Restarted && time.Since(n.start) < restartDoubtTime && n.deniesAnnouncement(a)
 	case be.instance == "" || be.instance == a.Instance || be.memberState == member.Draining || time.Now().After(be.leaseExpires):
 		return false
 	}
 	return n.isAlive(be)
 }
 
+// deniesAnnouncement reports whether the server at the announced address says that it is another one
+// or that it does not serve. Until the node has settings, it cannot ask.
+func (n *Node) deniesAnnouncement(a *Announcement) bool {
+	if n.opt.CheckBackend == nil {
+		return false
+	}
+	if n.conf.Load().version == 0 {
+		return true
+	}
+	h := n.checkBackend(a.Service, a.Address)
+	return h.Answered && (!h.Serving || h.Instance != a.Instance)
+}
+
 // isAlive reports whether an incarnation of the backend server has certainly not ended: it answers a
 // health request, or if that tells nothing, a connection to it is open.
 func (n *Node) isAlive(be *localBackend) bool {
--- a/internal/node/announce_check_test.go
+++ b/internal/node/announce_check_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -84,3 +85,38 @@
 		})
 	}
 }
+
+// TestAnnouncementAfterARestartIsChecked guards against a node that forgets by its restart that a
+// backend server has withdrawn, or which process runs there, and believes a late announcement.
+func TestAnnouncementAfterARestartIsChecked(t *testing.T) {
+	var health atomic.Pointer[BackendHealth]
+	for _, c := range []struct {
+		answer   string
+		health   BackendHealth
+		accepted bool
+	}{
+		{"none", BackendHealth{}, true},
+		{"serves", BackendHealth{Answered: true, Serving: true, Instance: "own"}, true},
+		{"is leaving", BackendHealth{Answered: true, Instance: "own"}, false},
+		{"is leaving, without its identity", BackendHealth{Answered: true}, false},
+		{"is another process", BackendHealth{Answered: true, Serving: true, Instance: "next"}, false},
+	} {
+		t.Run(c.answer, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			health.Store(&c.health)
+			n := startNode(t, "suva-a", nil, func(o *Options) {
+				o.CheckBackend = func(string, string) BackendHealth { return *health.Load() }
+				o.Restarted = true
+			})
+			a := &Announcement{Service: "suva/doc-vault", Address: freeAddr(t), Slots: 4, Connections: 16, State: "serving", Instance: "own", Sequence: 5}
+			g.Expect(n.Announce(a)).To(gomega.BeNil())
+			g.Expect(n.local.Load()).To(gomega.BeNil(), "it has no settings by which to ask")
+			useSettings(t, uploadLimit(1<<20)+"[fleet.suva.service.doc-vault]\nhealth_path = \"/health\"\n", n)
+			g.Expect(n.Announce(a)).To(gomega.BeNil())
+			g.Expect(n.local.Load() != nil).To(gomega.Equal(c.accepted))
+			health.Store(&BackendHealth{Answered: true, Serving: true, Instance: "own"})
+			g.Expect(n.Announce(a)).To(gomega.BeNil())
+			g.Expect(n.local.Load()).NotTo(gomega.BeNil(), "it serves now")
+		})
+	}
+}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -96,6 +96,8 @@
 	// CheckBackend sends a health request to the backend server at an address; nil if there are no
 	// such requests. It must return within a fraction of the interval of announcements.
 	CheckBackend func(addr, path string) BackendHealth `toml:"-"`
+	// Restarted is set if an earlier process ran in this one's place, whose memory is lost.
+	Restarted bool `toml:"-"`
 	// wrapLog lets tests wrap the log of a group.
 	wrapLog func(replicaLog) replicaLog
 	// disk lets tests replace the file system of the data folder.
