Changes are kept by size, not by number alone

Hundreds of changes, each of which moves 350 routes, took the replicas beyond their memory, and would take every node (256 changes each): what is kept for nodes that lag was bounded by a number of changes. A node that lacks more than the document's size in changes gets the document anyway, so more than that serves nobody.

Replicas and nodes keep the latest changes up to the size of the document, 64 KB at least, and always the latest one.

--- a/confstore/store.go
+++ b/confstore/store.go
@@ -22,6 +22,8 @@
 	// MaxChanges is the number of changes kept, from which nodes that lag
 	// slightly catch up.
 	MaxChanges = 1024
+	// minKeptBytes is the size of the changes that are kept beside a small document.
+	minKeptBytes = 64 << 10
 )
 
 // Change is a proposed or accepted change of the settings.
@@ -70,7 +72,8 @@
 	Entries  settings.Entries
 	// Results holds the last MaxResults results, oldest first.
 	Results []Result
-	// Changes holds the last MaxChanges accepted changes, oldest first.
+	// Changes holds the latest accepted changes, oldest first, as KeepRecent bounds
+	// them.
 	Changes []Change
 }
 
@@ -184,10 +187,40 @@
 	if c.Revision != 0 {
 		st.state.Revision = c.Revision
 	}
-	st.state.Changes = append(st.state.Changes, *c)
-	if n := len(st.state.Changes) - MaxChanges; n > 0 {
-		st.state.Changes = append([]Change(nil), st.state.Changes[n:]...)
+	st.state.Changes = KeepRecent(append(st.state.Changes, *c), MaxChanges, EntriesBytes(next))
+}
+
+// KeepRecent returns the latest of some changes, oldest first: at most a number of them,
+// and together not more bytes than the document, which a node that lacks more gets in their
+// place. The latest one is always kept.
+func KeepRecent(changes []Change, most, documentBytes int) []Change {
+	left := max(minKeptBytes, documentBytes)
+	for i := len(changes) - 1; i >= 0; i-- {
+		kept := len(changes) - 1 - i
+		left -= changes[i].Bytes()
+		if kept >= most || kept > 0 && left < 0 {
+			return append([]Change(nil), changes[i+1:]...)
+		}
+	}
+	return changes
+}
+
+// Bytes returns the approximate size of a change in bytes.
+func (c *Change) Bytes() int {
+	size := EntriesBytes(c.Patch.Set)
+	for _, id := range c.Patch.Remove {
+		size += len(id)
+	}
+	return size
+}
+
+// EntriesBytes returns the approximate size of a document in bytes.
+func EntriesBytes(entries settings.Entries) int {
+	size := 0
+	for id, v := range entries {
+		size += len(id) + len(v)
 	}
+	return size
 }
 
 // winningChange returns the id of the change that created a version, or "" if
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -49,9 +49,7 @@
 	if next.version == cur.version {
 		return
 	}
-	if over := len(next.changes) - maxKeptChanges; over > 0 {
-		next.changes = append([]confstore.Change(nil), next.changes[over:]...)
-	}
+	next.changes = confstore.KeepRecent(next.changes, maxKeptChanges, confstore.EntriesBytes(next.entries))
 	n.activate(next)
 }
 
@@ -128,30 +126,18 @@
 		return r
 	}
 	r.Changes = cur.changes[uint64(len(cur.changes))-behind:]
-	if behind > 1 && changesSize(r.Changes) > entriesSize(cur.entries) {
+	if behind > 1 && changesBytes(r.Changes) > confstore.EntriesBytes(cur.entries) {
 		// Changes that overwrite each other would take longer over a slow link.
 		r.Changes, r.Full = nil, cur.entries
 	}
 	return r
 }
 
-// entriesSize returns the approximate size of a document in bytes.
-func entriesSize(entries settings.Entries) int {
+// changesBytes returns the approximate size of changes in bytes.
+func changesBytes(changes []confstore.Change) int {
 	size := 0
-	for id, v := range entries {
-		size += len(id) + len(v)
-	}
-	return size
-}
-
-// changesSize returns the approximate size of changes in bytes.
-func changesSize(changes []confstore.Change) int {
-	size := 0
-	for _, c := range changes {
-		size += entriesSize(c.Patch.Set)
-		for _, id := range c.Patch.Remove {
-			size += len(id)
-		}
+	for i := range changes {
+		size += changes[i].Bytes()
 	}
 	return size
 }
