--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -26,6 +26,9 @@
 	maxInboxBatch = 512
 	// compactionThreshold is the log length, in entries, that triggers a snapshot.
 	compactionThreshold = 4096
+	// minCompactionBytes is the size of the commands in a log that does, if it also reaches
+	// that of the last snapshot: a snapshot must not cost more than what it replaces.
+	minCompactionBytes = 1 << 20
 	// membershipCheckTicks is the number of ticks between checks of a healthy
 	// group's membership.
 	membershipCheckTicks = 20
@@ -63,8 +66,10 @@
 	accepted bool
 	// failed is set after a snapshot that this version cannot read, which stops the replica.
 	failed bool
-	// compacting reports whether a compaction is being written.
-	compacting bool
+	// compacting reports whether a compaction is being written. snapshotBytes is the size of the
+	// latest snapshot, and appliedBytes that of the commands applied since.
+	compacting                  bool
+	snapshotBytes, appliedBytes int
 	// retry is set while the disk refuses writes.
 	retry *writeRetry
 	// stall records which disks are stalled.
@@ -119,6 +124,7 @@
 		ID: r.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, MaxBatchEntries: maxAppendEntries, StallTicks: stallTicks,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, l.State, l.Snapshot, l.Entries)
+	g.snapshotBytes = len(l.Snapshot.Data)
 	if err := m.restore(l.Snapshot.Data); err != nil {
 		return nil, fault.Wrap(fault.UnknownFormat, err, "group "+formatUint(uint64(id))+": this version cannot read the snapshot")
 	}
@@ -224,6 +230,7 @@
 				return
 			}
 			g.accepted = g.accepted || rd.Snapshot.Data != nil
+			g.snapshotBytes, g.appliedBytes = len(rd.Snapshot.Data), 0
 		}
 		if rd.MustSave() {
 			g.writer.jobs.Offer(writeJob{ready: rd})
@@ -287,6 +294,7 @@
 	var result []byte
 	if e.Type == raft.EntryData && len(e.Data) > 0 {
 		result = g.sm.apply(e.Data)
+		g.appliedBytes += len(e.Data)
 		g.accepted = true
 	}
 	pending, ok := g.proposals[e.Index]
@@ -363,7 +371,7 @@
 // startCompaction replaces a long log by a snapshot. It waits until no save is in
 // progress, because only then has everything in the core been persisted.
 func (g *group) startCompaction() {
-	if g.failed || g.compacting || g.core.LogLen() < compactionThreshold {
+	if g.failed || g.compacting || !g.logIsLong() {
 		return
 	}
 	if g.core.Saving() || g.retry != nil {
@@ -378,10 +386,15 @@
 	if !ok {
 		return
 	}
-	g.compacting = true
+	g.compacting, g.snapshotBytes, g.appliedBytes = true, len(data), 0
 	g.writer.jobs.Offer(writeJob{reset: &logReset{snapshot: snap, entries: g.core.EntriesAfterSnapshot()}})
 }
 
+// logIsLong reports whether the log is to be replaced by a snapshot.
+func (g *group) logIsLong() bool {
+	return g.core.LogLen() >= compactionThreshold || g.appliedBytes >= max(minCompactionBytes, g.snapshotBytes)
+}
+
 // ticksToDuration converts ticks of the core; math.MaxInt ticks remain the longest duration.
 func ticksToDuration(ticks int) time.Duration {
 	return time.Duration(min(int64(ticks), math.MaxInt64/int64(raftTickInterval))) * raftTickInterval
