Messages to a replica are bounded by size: one append, and all that wait

A replica that lagged by large commands got up to 256 of them in one message (5 MB for 100 of 50 KB in TestLaggingReplicaGetsLargeCommandsInParts), and for one that answered nothing the leader kept up to 1,024 messages with their commands.

The leader sends again what is dropped.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -236,8 +236,8 @@
 	}
 	n.replicas.mu.Lock()
 	defer n.replicas.mu.Unlock()
-	for _, s := range n.replicas.sendQueues {
-		d["replica_sender"] += s.Dropped()
+	for _, s := range n.replicas.senders {
+		d["replica_sender"] += s.dropped()
 	}
 	return d
 }
--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -21,7 +21,10 @@
 	heartbeatTicks   = 3
 	// maxAppendEntries bounds the entries in one raft message.
 	maxAppendEntries = 256
-	inboxSize        = 4096
+	// maxAppendBytes bounds their size, so that a replica that lags by large commands gets them
+	// in messages that a narrow link carries.
+	maxAppendBytes = 512 << 10
+	inboxSize      = 4096
 	// maxInboxBatch bounds the queued functions that run before their effects are saved.
 	maxInboxBatch = 512
 	// compactionThreshold is the log length, in entries, that triggers a snapshot.
@@ -121,7 +124,7 @@
 		proposals: map[uint64]pendingProposal{}, pendingReads: map[uint64]chan raft.ReadResult{}, accepted: l.Snapshot.Data != nil,
 	}
 	g.core = raft.New(raft.Options{
-		ID: r.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, MaxBatchEntries: maxAppendEntries, StallTicks: stallTicks,
+		ID: r.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, MaxBatchEntries: maxAppendEntries, MaxBatchBytes: maxAppendBytes, StallTicks: stallTicks,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, l.State, l.Snapshot, l.Entries)
 	g.snapshotBytes = len(l.Snapshot.Data)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -32,8 +32,11 @@
 	groupPrefix = "group-"
 	// damagedPrefix begins the names of the subfolders to which damaged data is moved.
 	damagedPrefix = "lost-"
-	// sendQueueSize is how many messages are queued for one node.
-	sendQueueSize = 1024
+	// sendQueueSize is how many messages are queued for one node, and sendQueueBytes the size of
+	// the commands and snapshots in them. One message more than that size may be queued. What is
+	// dropped is sent again by the leader.
+	sendQueueSize  = 1024
+	sendQueueBytes = 2 << 20
 	// stepTimeout bounds one RPC to another replica.
 	stepTimeout = time.Second
 )
@@ -45,8 +48,8 @@
 	id     string
 	groups []*group
 
-	mu         sync.Mutex
-	sendQueues map[string]*ring.Queue[outgoingMessage]
+	mu      sync.Mutex
+	senders map[string]*sender
 
 	// verifiedPeers are the replicas that recently confirmed their identity, nil
 	// while this node leads no group.
@@ -72,7 +75,7 @@
 // openReplicas opens the replicas in the data folder, and tries again for a while if
 // the disk refuses calls.
 func openReplicas(n *Node) (*replicas, error) {
-	r := &replicas{node: n, sendQueues: map[string]*ring.Queue[outgoingMessage]{}}
+	r := &replicas{node: n, senders: map[string]*sender{}}
 	if n.opt.DataFolder == "" {
 		return r, nil
 	}
@@ -588,7 +591,7 @@
 	conf := g.core.Conf()
 	for _, m := range ms {
 		for _, addr := range r.addrsOf(conf, m.To) {
-			r.sendQueue(addr).Offer(outgoingMessage{g.id, m})
+			r.sender(addr).offer(outgoingMessage{g.id, m})
 		}
 	}
 }
@@ -608,33 +611,61 @@
 	return addrs
 }
 
-// sendQueue returns the queue of an address, and starts its sender if it is new.
-func (r *replicas) sendQueue(addr string) *ring.Queue[outgoingMessage] {
+// sender sends the messages for one address, in order.
+type sender struct {
+	queue *ring.Queue[outgoingMessage]
+	// queuedBytes is the size of the messages that are queued or being sent, and droppedLarge
+	// counts those dropped because of it.
+	queuedBytes, droppedLarge atomic.Int64
+}
+
+// newSender returns a sender without messages.
+func newSender() *sender { return &sender{queue: ring.New[outgoingMessage](sendQueueSize)} }
+
+// offer queues a message, unless those that wait are too many or too large.
+func (s *sender) offer(o outgoingMessage) {
+	size := int64(o.msg.DataBytes())
+	if size > 0 && s.queuedBytes.Load() >= sendQueueBytes {
+		s.droppedLarge.Add(1)
+		return
+	}
+	s.queuedBytes.Add(size)
+	if !s.queue.Offer(o) {
+		s.queuedBytes.Add(-size)
+	}
+}
+
+// dropped returns the number of messages dropped so far.
+func (s *sender) dropped() int64 { return s.queue.Dropped() + s.droppedLarge.Load() }
+
+// sender returns the sender for an address, and starts it if it is new.
+func (r *replicas) sender(addr string) *sender {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.sendQueues[addr]
+	s := r.senders[addr]
 	if s == nil {
-		s = ring.New[outgoingMessage](sendQueueSize)
-		r.sendQueues[addr] = s
+		s = newSender()
+		r.senders[addr] = s
 		r.node.startTask("sender", func() { r.sendLoop(addr, s) })
 	}
 	return s
 }
 
 // sendLoop sends the messages queued for one address, batched by group.
-func (r *replicas) sendLoop(addr string, s *ring.Queue[outgoingMessage]) {
+func (r *replicas) sendLoop(addr string, s *sender) {
 	for {
 		var first outgoingMessage
 		select {
 		case <-r.node.stop:
 			return
-		case first = <-s.C():
+		case first = <-s.queue.C():
 		}
-		batches := map[int][]raft.Message{first.group: {first.msg}}
-		for more := true; more; {
+		batches, size := map[int][]raft.Message{first.group: {first.msg}}, first.msg.DataBytes()
+		for more := true; more && size < maxAppendBytes; {
 			select {
-			case o := <-s.C():
+			case o := <-s.queue.C():
 				batches[o.group] = append(batches[o.group], o.msg)
+				size += o.msg.DataBytes()
 			default:
 				more = false
 			}
@@ -643,6 +674,7 @@
 			req := &control.StepRequest{Group: id, Messages: ms}
 			_ = r.node.control.pool.Call(addr, "Step", req, &control.Empty{}, stepTimeout)
 		}
+		s.queuedBytes.Add(int64(-size))
 	}
 }
 
--- a/raft/core.go
+++ b/raft/core.go
@@ -22,6 +22,9 @@
 	Rand *rand.Rand
 	// MaxBatchEntries limits the number of entries in one message.
 	MaxBatchEntries int
+	// MaxBatchBytes limits the size of the commands in one message, but for a single larger one.
+	// 0 means no limit.
+	MaxBatchBytes int
 	// StallTicks is how long a save may take before a leader transfers leadership to a
 	// voter whose disk still responds. 0 disables the transfer.
 	StallTicks int
--- a/raft/log.go
+++ b/raft/log.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// dataBytes returns the size of the commands in entries.
+func dataBytes(es []Entry) int {
+	size := 0
+	for i := range es {
+		size += len(es[i].Data)
+	}
+	return size
+}
+
 // truncate removes the entries from index on.
 func (l *raftLog) truncate(index uint64) {
 	if index > l.lastIndex() {
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -325,12 +325,25 @@
 		c.sendSnapshot(id, p)
 		return
 	}
-	hi := min(c.log.lastIndex(), prev+uint64(c.options.MaxBatchEntries))
-	es := slices.Clone(c.log.slice(p.nextIndex, hi))
-	p.nextIndex = hi + 1
+	es := c.nextBatch(p.nextIndex)
+	p.nextIndex += uint64(len(es))
 	c.sendAsLeader(Message{Type: MsgAppend, To: id, Index: prev, LogTerm: term, Commit: c.log.commitIndex, Entries: es})
 }
 
+// nextBatch returns the entries from an index on that one message may hold.
+func (c *Core) nextBatch(from uint64) []Entry {
+	es := c.log.slice(from, min(c.log.lastIndex(), from-1+uint64(c.options.MaxBatchEntries)))
+	size := 0
+	for i := range es {
+		size += len(es[i].Data)
+		if i > 0 && c.options.MaxBatchBytes > 0 && size > c.options.MaxBatchBytes {
+			es = es[:i]
+			break
+		}
+	}
+	return slices.Clone(es)
+}
+
 // maxSnapshotWaitElections is the maximum number of election timeouts before a snapshot is sent
 // again. The wait starts at one, as a lost snapshot delays the repair of a group, and grows, as a
 // slow link must not be filled with copies.
--- a/raft/types.go
+++ b/raft/types.go
@@ -153,6 +153,15 @@
 	Snapshot *Snapshot
 }
 
+// DataBytes returns the size of the commands and of the snapshot in a message.
+func (m *Message) DataBytes() int {
+	size := dataBytes(m.Entries)
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
+
 // Role is the current role of a replica.
 type Role uint8
 
