A process does not take acks for an earlier one at its address for its own

A node that was restarted at its address numbered its pings from 1 again. An ack of a ping of the earlier process that arrived late matched a ping to another member: it counted as that member's answer, with the settings' version in it, and as it bore another identity, the member was declared dead.

The numbers of a process begin at a hash of its identity, which each process draws anew. TestAckForAnEarlierProcessEndsNoMember failed before.

--- a/gossip/core.go
+++ b/gossip/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"hash/fnv"
 	"math/bits"
 	"math/rand/v2"
 	"sort"
@@ -199,10 +200,19 @@
 func New(self Member, o Options) *Core {
 	self.Status = Alive
 	c := &Core{opt: o, self: self, members: map[string]*memberState{}, store: newStore(), pings: map[uint64]sentPing{}, relays: map[uint64]relay{}}
+	c.seq = firstSeq(self.ID)
 	c.publishSelf()
 	return c
 }
 
+// firstSeq returns the number after which a process numbers its pings. It differs between processes:
+// an ack that arrives late for an earlier one at the same address must not match a ping of this one.
+func firstSeq(id string) uint64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return uint64(h.Sum32())
+}
+
 // Self returns the node's own member entry.
 func (c *Core) Self() Member { return c.self }
 
--- a/gossip/query_test.go
+++ b/gossip/query_test.go
@@ -55,3 +55,25 @@
 	g.Expect(codec.Decode(EncodePacket(Packet{Kind: Ack, From: "a", Seq: 3, Config: 7, ConfigAge: 9}), &earlier)).To(gomega.Succeed())
 	g.Expect(earlier).To(gomega.Equal(earlierPacket{Kind: Ack, From: "a", Seq: 3, Config: 7}))
 }
+
+// TestAckForAnEarlierProcessEndsNoMember guards against a live member that is declared dead, or believed
+// to have answered: an ack of a ping by the process that ran before at this node's address arrives late,
+// and a ping to another member has the same sequence number.
+func TestAckForAnEarlierProcessEndsNoMember(t *testing.T) {
+	g := gomega.NewWithT(t)
+	// probeOf starts a process at one address, which pings a member, and returns the ping's number.
+	probeOf := func(process, member string) (*Core, uint64) {
+		c := New(Member{ID: process, Addr: "here"}, testOptions(newSimNetwork(1, 1).rng))
+		c.HandlePacket(0, member, Packet{Kind: Ack, From: member, Records: []Record{memberRecord(Member{ID: member, Addr: member})}})
+		c.Tick(time.Second)
+		outs, _ := c.TakeOutput()
+		g.Expect(outs).NotTo(gomega.BeEmpty())
+		return c, outs[len(outs)-1].Packet.Seq
+	}
+	_, earlierSeq := probeOf("earlier-process", "first")
+	c, seq := probeOf("process", "second")
+	g.Expect(seq).NotTo(gomega.Equal(earlierSeq))
+	c.HandlePacket(1100*time.Millisecond, "first", Packet{Kind: Ack, From: "first", Seq: earlierSeq})
+	g.Expect(c.TakeAnswers()).To(gomega.BeEmpty())
+	g.Expect(c.Members()).To(gomega.ContainElement(gomega.And(gomega.HaveField("ID", "second"), gomega.HaveField("Status", Alive))))
+}
