A server whose health responses are wrong is accepted after the restart of its node

After a server that wrongly says that it is ill got no requests for up to a minute after a restart of its node. A server that has withdrawn sends no more announcements, few arrive late; so three, each later than the one before, outweigh a health response that says that it does not serve. One that names another process still counts.

--- a/internal/node/announce_check.go
+++ b/internal/node/announce_check.go
@@ -21,6 +21,31 @@
 // the earlier process knew. It is that of the records of retired incarnations, which are lost then.
 const restartDoubtTime = incarnationRecordTTL
 
+// persistentAnnouncements is how many announcements, each later than the one before, outweigh a health
+// response that says that the server does not serve. A server that has withdrawn sends none; few that
+// it sent before arrive late.
+const persistentAnnouncements = 3
+
+// doubtedServer is a server that announces itself and says that it does not serve.
+type doubtedServer struct {
+	instance string
+	sequence uint64
+	// announcements counts those with increasing sequence numbers.
+	announcements int
+}
+
+// record records an announcement and reports whether there have been enough.
+func (d *doubtedServer) record(a *Announcement) bool {
+	if d.instance != a.Instance {
+		*d = doubtedServer{instance: a.Instance}
+	}
+	if d.announcements == 0 || a.Sequence > d.sequence {
+		d.announcements++
+		d.sequence = a.Sequence
+	}
+	return d.announcements >= persistentAnnouncements
+}
+
 // contradicts reports whether there is evidence against an announcement of a backend server that this
 // node does not know: it arrived late, or is not of the server beside this node. It may send a health
 // request.
@@ -37,8 +62,9 @@
 	return n.isAlive(be)
 }
 
-// deniesAnnouncement reports whether the server at the announced address says that it is another one
-// or that it does not serve. Until the node has settings, it cannot ask.
+// deniesAnnouncement reports whether the server at the announced address says that it is another one,
+// or that it does not serve, which may be false: then it goes on announcing itself. Until the node has
+// settings, it cannot ask.
 func (n *Node) deniesAnnouncement(a *Announcement) bool {
 	if n.opt.CheckBackend == nil {
 		return false
@@ -47,7 +73,17 @@
 		return true
 	}
 	h := n.checkBackend(a.Service, a.Address)
-	return h.Answered && (!h.Serving || h.Instance != a.Instance)
+	switch {
+	case !h.Answered:
+		return false
+	case h.Instance != "" && h.Instance != a.Instance:
+		return true
+	case h.Serving:
+		return false
+	}
+	n.localMu.Lock()
+	defer n.localMu.Unlock()
+	return !n.doubted.record(a)
 }
 
 // isAlive reports whether an incarnation of the backend server has certainly not ended: it answers a
