A body that does not arrive in time is answered as late, not as a bad request

The caller of a slow upload got 400 "cannot read the request body" as the request's time ended: a proper request was called wrong, and callers do not send again after 400. Cause: each error of reading the body but its limit counted as the caller's fault, also the node's own time limit. It is a deadline now, and as nothing was passed on yet, not executed: 504 in the project's own interface with run "no", 503 in the platform's.

TestUploadThatIsTooSlowIsNoBadRequest failed before for a body that is kept; streamed ones were answered so already. Found by a mistake in the sender of a test.

--- a/internal/node/body_limit_test.go
+++ b/internal/node/body_limit_test.go
@@ -146,6 +146,22 @@
 	g.Expect(status).To(gomega.Equal(http.StatusOK), answer)
 }
 
+// TestUploadThatIsTooSlowIsNoBadRequest guards against a caller that is told that its request is wrong, as
+// the request's time ended before its body had arrived.
+func TestUploadThatIsTooSlowIsNoBadRequest(t *testing.T) {
+	for name, size := range map[string]int{"small": 500, "streamed": 3 << 20} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := startNode(t, "suva-a", nil, nil)
+			useSettings(t, strings.Replace(uploadLimit(8<<20), "5s", "200ms", 1), n)
+			startStandin(t, n, "suva/doc-vault", 4, map[string]standin.KindBehavior{"upload": {ResponseBytes: 64}})
+			n.awaitInstances("suva/doc-vault", 1)
+			status, answer := n.upload("slow", size, func() { time.Sleep(400 * time.Millisecond) })
+			g.Expect(status).To(gomega.Equal(http.StatusGatewayTimeout), answer)
+		})
+	}
+}
+
 // brokenRequests returns how many requests the node counts as broken by its backend server.
 func (n *testNode) brokenRequests() int {
 	n.quarantine.mu.Lock()
--- a/internal/node/request_body.go
+++ b/internal/node/request_body.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 
 	"github.com/umberthread/umberthread/fault"
 )
@@ -74,8 +75,11 @@
 
 // bodyReadError maps an error of reading a request body to a fault.
 func (n *Node) bodyReadError(c *call, err error) *fault.Error {
-	if isBodyLimit(err) {
+	switch {
+	case isBodyLimit(err):
 		return n.unlessOutdated(c.conf, fault.Wrap(fault.TooLarge, err, "the body is too large"))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return fault.New(fault.Deadline, "the body did not arrive in time")
 	}
 	return fault.Wrap(fault.BadRequest, err, "cannot read the request body")
 }
