Late announcements do not bring a withdrawn server back, however many there are

A number of them is no proof. What arrives later after the start of the node than an announcement may be late was sent after the start, and so after a withdrawal that the earlier process had acknowledged: from 5 s on a server that goes on announcing itself counts as serving, whatever its health responses say. The node's test has eight late announcements; three brought the server back before.

--- a/internal/node/announce_check.go
+++ b/internal/node/announce_check.go
@@ -21,30 +21,9 @@
 // the earlier process knew. It is that of the records of retired incarnations, which are lost then.
 const restartDoubtTime = incarnationRecordTTL
 
-// persistentAnnouncements is how many announcements, each later than the one before, outweigh a health
-// response that says that the server does not serve. A server that has withdrawn sends none; few that
-// it sent before arrive late.
-const persistentAnnouncements = 3
-
-// doubtedServer is a server that announces itself and says that it does not serve.
-type doubtedServer struct {
-	instance string
-	sequence uint64
-	// announcements counts those with increasing sequence numbers.
-	announcements int
-}
-
-// record records an announcement and reports whether there have been enough.
-func (d *doubtedServer) record(a *Announcement) bool {
-	if d.instance != a.Instance {
-		*d = doubtedServer{instance: a.Instance}
-	}
-	if d.announcements == 0 || a.Sequence > d.sequence {
-		d.announcements++
-		d.sequence = a.Sequence
-	}
-	return d.announcements >= persistentAnnouncements
-}
+// maxAnnouncementDelay is how late an announcement may arrive. One that arrives later than that after the
+// start of this process was sent after it, and so after each withdrawal that an earlier process knew.
+const maxAnnouncementDelay = 5 * time.Second
 
 // contradicts reports whether there is evidence against an announcement of a backend server that this
 // node does not know: it arrived late, or is not of the server beside this node. It may send a health
@@ -62,9 +41,8 @@
 	return n.isAlive(be)
 }
 
-// deniesAnnouncement reports whether the server at the announced address says that it is another one,
-// or that it does not serve, which may be false: then it goes on announcing itself. Until the node has
-// settings, it cannot ask.
+// deniesAnnouncement reports whether the server at the announced address contradicts the announcement.
+// Until the node has settings, it cannot ask.
 func (n *Node) deniesAnnouncement(a *Announcement) bool {
 	if n.opt.CheckBackend == nil {
 		return false
@@ -72,18 +50,20 @@
 	if n.conf.Load().version == 0 {
 		return true
 	}
-	h := n.checkBackend(a.Service, a.Address)
+	return n.checkBackend(a.Service, a.Address).denies(a.Instance, time.Since(n.start))
+}
+
+// denies reports whether the answer contradicts an announcement of an identity at a time since the
+// start of the node: it comes from another process, or from one that does not serve. The latter may be
+// wrong: a server that goes on announcing itself counts as serving.
+func (h BackendHealth) denies(instance string, sinceStart time.Duration) bool {
 	switch {
 	case !h.Answered:
 		return false
-	case h.Instance != "" && h.Instance != a.Instance:
+	case h.Instance != "" && h.Instance != instance:
 		return true
-	case h.Serving:
-		return false
 	}
-	n.localMu.Lock()
-	defer n.localMu.Unlock()
-	return !n.doubted.record(a)
+	return !h.Serving && sinceStart < maxAnnouncementDelay
 }
 
 // isAlive reports whether an incarnation of the backend server has certainly not ended: it answers a
--- a/internal/node/announce_check_test.go
+++ b/internal/node/announce_check_test.go
@@ -124,33 +124,27 @@
 }
 
 // TestServerThatWronglySaysItIsIllIsAccepted guards against a backend server that stays without requests
-// after the restart of its node, as its health responses are wrong.
+// after the restart of its node, as its health responses are wrong; and against a withdrawn one that
+// several late announcements bring back.
 func TestServerThatWronglySaysItIsIllIsAccepted(t *testing.T) {
-	for _, c := range []struct {
-		answer   string
-		health   BackendHealth
-		accepted bool
-	}{
-		{"is ill", BackendHealth{Answered: true, Instance: "own"}, true},
-		{"is ill, without its identity", BackendHealth{Answered: true}, true},
-		{"is another process", BackendHealth{Answered: true, Serving: true, Instance: "next"}, false},
-	} {
-		t.Run(c.answer, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			n := startNode(t, "suva-a", nil, func(o *Options) {
-				o.CheckBackend = func(string, string) BackendHealth { return c.health }
-				o.Restarted = true
-			})
-			useSettings(t, uploadLimit(1<<20)+"[fleet.suva.service.doc-vault]\nhealth_path = \"/health\"\n", n)
-			a := &Announcement{Service: "suva/doc-vault", Address: freeAddr(t), Slots: 4, Connections: 16, State: "serving", Instance: "own"}
-			for range persistentAnnouncements - 1 {
-				a.Sequence++
-				g.Expect(n.Announce(a)).To(gomega.BeNil())
-				g.Expect(n.local.Load()).To(gomega.BeNil())
-			}
-			a.Sequence++
-			g.Expect(n.Announce(a)).To(gomega.BeNil())
-			g.Expect(n.local.Load() != nil).To(gomega.Equal(c.accepted))
-		})
+	g := gomega.NewWithT(t)
+	ill, unnamed := BackendHealth{Answered: true, Instance: "own"}, BackendHealth{Answered: true}
+	for _, h := range []BackendHealth{ill, unnamed} {
+		g.Expect(h.denies("own", maxAnnouncementDelay-1)).To(gomega.BeTrue())
+		g.Expect(h.denies("own", maxAnnouncementDelay)).To(gomega.BeFalse())
+	}
+	other := BackendHealth{Answered: true, Serving: true, Instance: "next"}
+	g.Expect(other.denies("own", maxAnnouncementDelay)).To(gomega.BeTrue())
+
+	n := startNode(t, "suva-a", nil, func(o *Options) {
+		o.CheckBackend = func(string, string) BackendHealth { return ill }
+		o.Restarted = true
+	})
+	useSettings(t, uploadLimit(1<<20)+"[fleet.suva.service.doc-vault]\nhealth_path = \"/health\"\n", n)
+	a := &Announcement{Service: "suva/doc-vault", Address: freeAddr(t), Slots: 4, Connections: 16, State: "serving", Instance: "own"}
+	for range 8 {
+		a.Sequence++
+		g.Expect(n.Announce(a)).To(gomega.BeNil())
+		g.Expect(n.local.Load()).To(gomega.BeNil())
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,11 +66,9 @@
 	bulkheads                 sync.Map // called service -> *admission.Bulkhead
 
 	gate *admissionGate
-	// local is the backend server, nil if there is none. localMu serialises changes, and guards
-	// doubted.
+	// local is the backend server, nil if there is none. localMu serialises changes.
 	local             atomic.Pointer[localBackend]
 	localMu           sync.Mutex
-	doubted           doubtedServer
 	executionsByToken sync.Map // token -> *execution, requests in flight at the backend server
 	lastToken         atomic.Uint64
 
