--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -90,8 +90,8 @@
 	return nil
 }
 
-// AnnounceRecovered does the same for an announcement that follows from an answer to a
-// health request.
+// AnnounceRecovered validates and applies an announcement that was made from the server's answer
+// to a health request. That is evidence by itself, so none is looked for against it.
 func (n *Node) AnnounceRecovered(a *Announcement) *fault.Error {
 	state, ferr := validateAnnouncement(a)
 	if ferr == nil {
