Test network: a partition hits connections that are being opened as it begins

Cause found, by reading: newNetwork put its dialer into nodes that ran already and closed their pooled connections. One that the dialer before was just opening entered the pool after that and bypassed every partition of the test: exchanges over it go on, so the domain stays reachable.

Change: nodes of tests open all connections through the network that the test may set later. They stay what the product sees as sockets. Checks are as before; the test that failed logs the nodes' events. No product code is touched.

--- a/internal/node/domain_discovery_test.go
+++ b/internal/node/domain_discovery_test.go
@@ -31,11 +31,12 @@
 		if slices.Contains(member.SelectLinkMembers(append(ids, n.id), linkMemberCount), n.id) {
 			continue
 		}
+		node := newTestNode(t, n)
 		if err := n.Start(); err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(n.Close)
-		return &testNode{n, t}
+		return node
 	}
 }
 
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/onsi/gomega"
 
+	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/internal/sock"
 	"github.com/umberthread/umberthread/internal/standin"
 	"github.com/umberthread/umberthread/settings"
@@ -27,10 +29,24 @@
 	return addr
 }
 
-// testNode is a node in the test's process that uses real TCP and UDP.
+// testNode is a node in the test's process that uses real TCP and UDP, within a network that can
+// be partitioned.
 type testNode struct {
 	*Node
 	t testing.TB
+	// connect opens its connections.
+	connect control.Dialer
+	// network is nil until the test sets one.
+	network atomic.Pointer[network]
+}
+
+// newTestNode puts all connections and datagrams of a node that has not been started under the
+// control of the network that the test may set later.
+func newTestNode(t testing.TB, n *Node) *testNode {
+	node := &testNode{Node: n, t: t, connect: control.DialTCP}
+	n.dial = node.dialInNetwork
+	n.allowDatagram = func(addr string) bool { return !node.network.Load().isCut(n.id, addr) }
+	return node
 }
 
 // maxStartAttempts bounds the starts of a node, as another process may take a chosen port
@@ -62,9 +78,10 @@
 		if n, err = New(o, logger); err != nil {
 			break
 		}
+		node := newTestNode(t, n)
 		if err = n.Start(); err == nil {
 			t.Cleanup(n.Close)
-			return &testNode{n, t}
+			return node
 		}
 	}
 	t.Fatal(err)
--- a/internal/node/instance_return_test.go
+++ b/internal/node/instance_return_test.go
@@ -97,7 +97,7 @@
 	first := startNode(t, "a", nil, nil)
 	n := startNode(t, "a", []string{first.opt.Control}, func(o *Options) { o.StopTimeout = Duration{time.Second} })
 	dialing := make(chan struct{}, 100)
-	n.dial = func(string, time.Duration) (net.Conn, error) {
+	n.connect = func(string, time.Duration) (net.Conn, error) {
 		dialing <- struct{}{}
 		time.Sleep(4 * time.Second)
 		return nil, net.ErrClosed
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -4,12 +4,14 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/onsi/gomega"
 
+	"github.com/umberthread/umberthread/internal/control"
 	"github.com/umberthread/umberthread/internal/standin"
 	"github.com/umberthread/umberthread/settings"
 )
@@ -23,36 +25,38 @@
 	cuts  map[string]bool   // "from>to"
 }
 
-// newNetwork puts the connections of running nodes under the control of a network
-// without partitions.
+// newNetwork puts running nodes into a network without partitions. It holds for the connections
+// that they have already, and for those that are being opened.
 func newNetwork(nodes ...*testNode) *network {
 	nw := &network{owner: map[string]string{}, cuts: map[string]bool{}}
 	for _, n := range nodes {
 		nw.owner[n.opt.Control] = n.id
 		nw.owner[n.opt.Data] = n.id
-		n.allowDatagram = func(addr string) bool { return !nw.isCut(n.id, addr) }
-		n.dial = func(addr string, timeout time.Duration) (net.Conn, error) {
-			if nw.isCut(n.id, addr) || nw.isReverseCut(n.id, addr) {
-				time.Sleep(min(timeout, 200*time.Millisecond))
-				return nil, net.ErrClosed
-			}
-			c, err := net.DialTimeout("tcp", addr, timeout)
-			if err != nil {
-				return nil, err
-			}
-			return &cutConn{Conn: c, nw: nw, from: n.id, addr: addr}, nil
-		}
 	}
 	for _, n := range nodes {
-		// Connections opened earlier would bypass the partition.
-		n.control.pool.Close()
-		n.peers.closeExcept(nil)
+		n.network.Store(nw)
 	}
 	return nw
 }
 
-// isCut reports whether what a node sends to an address is lost.
+// dialInNetwork opens a connection that a partition can hit at any time.
+func (n *testNode) dialInNetwork(addr string, timeout time.Duration) (net.Conn, error) {
+	if nw := n.network.Load(); nw.isCut(n.id, addr) || nw.isReverseCut(n.id, addr) {
+		time.Sleep(min(timeout, 200*time.Millisecond))
+		return nil, net.ErrClosed
+	}
+	c, err := n.connect(addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &cutConn{Conn: c, node: n, addr: addr}, nil
+}
+
+// isCut reports whether what a node sends to an address is lost. Nothing is without a network.
 func (nw *network) isCut(from, addr string) bool {
+	if nw == nil {
+		return false
+	}
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
 	return nw.cuts[from+">"+nw.owner[addr]]
@@ -60,6 +64,9 @@
 
 // isReverseCut reports whether what the node at an address sends to another is lost.
 func (nw *network) isReverseCut(from, addr string) bool {
+	if nw == nil {
+		return false
+	}
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
 	return nw.cuts[nw.owner[addr]+">"+from]
@@ -81,10 +88,10 @@
 // cutConn discards what is sent or received during a partition, and everything after.
 type cutConn struct {
 	net.Conn
-	nw         *network
-	from, addr string
-	mu         sync.Mutex
-	lost       bool
+	node *testNode
+	addr string
+	mu   sync.Mutex
+	lost bool
 }
 
 // isLost reports whether the connection has been hit by a partition, now or before.
@@ -97,7 +104,7 @@
 
 // Write implements net.Conn.
 func (c *cutConn) Write(p []byte) (int, error) {
-	if c.isLost(c.nw.isCut(c.from, c.addr)) {
+	if c.isLost(c.node.network.Load().isCut(c.node.id, c.addr)) {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
@@ -107,12 +114,17 @@
 func (c *cutConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if err != nil || !c.isLost(c.nw.isReverseCut(c.from, c.addr)) {
+		if err != nil || !c.isLost(c.node.network.Load().isReverseCut(c.node.id, c.addr)) {
 			return n, err
 		}
 	}
 }
 
+// SyscallConn implements syscall.Conn, by which idle connections are inspected.
+func (c *cutConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
 // logReplicaState logs the state and events of the replicas if the test failed.
 func logReplicaState(t *testing.T, nodes []*testNode) {
 	if !t.Failed() {
@@ -127,6 +139,29 @@
 	}
 }
 
+// Guards against a connection that bypasses a partition, as it was being opened when the partition
+// began: a domain that is cut off then counts as reachable for good.
+func TestPartitionHitsConnectionsThatAreBeingOpened(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := startNode(t, "a", nil, nil)
+	c := startNode(t, "c", []string{a.opt.Control}, nil)
+	inContact := func() bool { return a.view.Load().domains["c"].InContact() }
+	g.Eventually(inContact, "10s").Should(gomega.BeTrue())
+	opened, release := make(chan struct{}, 100), make(chan struct{})
+	a.connect = func(addr string, timeout time.Duration) (net.Conn, error) {
+		conn, err := control.DialTCP(addr, timeout)
+		opened <- struct{}{}
+		<-release
+		return conn, err
+	}
+	a.control.pool.Close()
+	g.Eventually(opened, "5s").Should(gomega.Receive())
+	nw := newNetwork(a, c)
+	nw.setCutBothWays(a, c, true)
+	close(release)
+	g.Eventually(inContact, "10s").Should(gomega.BeFalse())
+}
+
 // A domain cut off from the others must keep serving requests, refuse what needs a
 // quorum as not executed, and catch up on the settings once it is reconnected.
 func TestPartitionedDomainServesAndCatchesUp(t *testing.T) {
--- a/internal/node/replica_restart_test.go
+++ b/internal/node/replica_restart_test.go
@@ -17,16 +17,17 @@
 // restart starts a stopped node again, with the same addresses and data folder.
 func (n *testNode) restart() *testNode {
 	n.t.Helper()
-	var next *Node
+	var next *testNode
 	gomega.NewWithT(n.t).Eventually(func() error {
-		var err error
-		if next, err = New(n.opt, log.NewNopLogger()); err != nil {
+		node, err := New(n.opt, log.NewNopLogger())
+		if err != nil {
 			return err
 		}
+		next = newTestNode(n.t, node)
 		return next.Start()
 	}, 10*time.Second, 10*time.Millisecond).Should(gomega.Succeed())
 	n.t.Cleanup(next.Close)
-	return &testNode{next, n.t}
+	return next
 }
 
 // After all replicas have restarted at their old addresses, new settings must reach the
--- a/internal/node/settings_doubt_test.go
+++ b/internal/node/settings_doubt_test.go
@@ -164,6 +164,7 @@
 func TestConfirmedSettingsAreCurrentWithoutACutOffDomain(t *testing.T) {
 	g := gomega.NewWithT(t)
 	nodes := startReplicasWith(t, func(_ int, o *Options) { o.KeyTrust = Duration{time.Minute} }, "a", "b", "c")
+	t.Cleanup(func() { logReplicaState(t, nodes) })
 	_, r := nodes[0].proposeChange("", 0, settings.Entries{"#deadline": "2s"})
 	g.Expect(r.Reason).To(gomega.Equal("none"))
 	for _, n := range nodes {
