Tests for the marks and bounds that were known by reading only

The tables of docs/PROOFS.md had six lines without a test: a rejection with two marks, a health response with two identities, an announcement with two sequences, a reply with the number of another attempt, a head between nodes beyond 64 KB, and a stored answer beyond 16 KB.

--- a/internal/node/replica_test.go
+++ b/internal/node/replica_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/onsi/gomega"
 
+	"github.com/umberthread/umberthread/claims"
 	"github.com/umberthread/umberthread/internal/standin"
 	"github.com/umberthread/umberthread/raft"
 	"github.com/umberthread/umberthread/settings"
@@ -172,6 +173,37 @@
 	g.Expect(other.problem().Reason).To(gomega.Equal("key-mismatch"))
 }
 
+// Guards against a resend that takes a stored answer without its body for the whole answer, and
+// against one that is executed again because the answer was too large to be stored.
+func TestResendOfALargeAnswerSaysThatItsBodyWasNotKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := startReplicas(t, "a")[0]
+	_, r := n.proposeChange("", 0, settings.Entries{"f/s/fits#key_required": "true", "f/s/large#key_required": "true"})
+	g.Expect(r.Reason).To(gomega.Equal("none"))
+	n.awaitConfigVersion(1)
+	server := startStandin(t, n, "f/s", 8, map[string]standin.KindBehavior{
+		"fits": {ResponseBytes: claims.MaxBodyBytes}, "large": {ResponseBytes: claims.MaxBodyBytes + 1},
+	})
+	n.awaitInstances("f/s", 1)
+	for _, c := range []struct {
+		kind, mark string
+		resent     int
+	}{{"fits", "", claims.MaxBodyBytes}, {"large", "not-kept", 0}} {
+		key := uuid.Must(uuid.NewV7()).String()
+		header := map[string]string{HeaderIdempotencyKey: key}
+		first := n.call("f/s/"+c.kind, "", nil, header)
+		g.Expect(first.status).To(gomega.Equal(200), first.body)
+		g.Expect(first.header.Get("Umber-Body")).To(gomega.BeEmpty())
+		g.Expect(first.body).NotTo(gomega.BeEmpty())
+		again := n.call("f/s/"+c.kind, "", nil, header)
+		g.Expect(again.status).To(gomega.Equal(200), again.body)
+		g.Expect(again.header.Get(HeaderReplayed)).To(gomega.Equal("true"))
+		g.Expect(again.header.Get("Umber-Body")).To(gomega.Equal(c.mark))
+		g.Expect(again.body).To(gomega.HaveLen(c.resent))
+		g.Expect(server.ExecutionsByKey()[key]).To(gomega.Equal(1))
+	}
+}
+
 // A replica behind a forwarder must join its group under the address that it
 // advertises, not under the bootstrap address at which it was found.
 func TestReplicaIsKnownByItsAdvertisedAddress(t *testing.T) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,9 @@
 	"math/rand/v2"
 	"net"
 	"runtime"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,6 +223,56 @@
 	g.Expect(ferr.Execution).To(gomega.Equal(fault.NotExecuted))
 }
 
+// Guards against a head that is cut at its bound: nothing of a request may be executed, and a caller
+// may not get a reply with some of its fields.
+func TestHeadBeyondItsBoundIsAnError(t *testing.T) {
+	g := gomega.NewWithT(t)
+	large := []Field{{Name: "A", Value: strings.Repeat("a", MaxHead)}}
+	var executed atomic.Int64
+	addr := serve(t, func(x *Exchange) {
+		executed.Add(1)
+		if x.Request.ID == "large reply" {
+			_ = x.Reply(&Reply{Status: 200, Header: large}, []byte("body"), nil)
+			return
+		}
+		echo(x)
+	})
+	c := client(addr)
+	_, err := c.Do(scope.New(time.Now().Add(time.Second)), &Request{ID: "large request", Header: large}, nil, nil)
+	g.Expect(fault.From(err)).To(gomega.And(gomega.HaveField("Code", fault.TooLarge), gomega.HaveField("Execution", fault.NotExecuted)))
+	g.Expect(executed.Load()).To(gomega.BeZero())
+	_, body, ferr := send(c, "large reply", nil, time.Second)
+	g.Expect(ferr).To(gomega.HaveField("Execution", fault.ExecutionUnknown))
+	g.Expect(body).To(gomega.BeEmpty())
+	_, body, ferr = send(c, "small", []byte("x"), time.Second)
+	g.Expect(ferr).To(gomega.BeNil())
+	g.Expect(body).To(gomega.Equal("x"))
+}
+
+// Guards against a reply that is believed by its place on the connection: one with the number of
+// another attempt ends the connection, and says nothing of the execution.
+func TestReplyToAnotherAttemptIsAnError(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = ln.Close() }()
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		late := Reply{Attempt: 7, Code: fault.Rejected, Execution: fault.NotExecuted}
+		_, _ = conn.Write(appendFrame(nil, frameReply, late.append(nil)))
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	s := scope.New(time.Now().Add(time.Second))
+	_, err = client(ln.Addr().String()).Do(s, &Request{Attempt: 8, ID: "mine", Remaining: time.Second}, nil, nil)
+	g.Expect(fault.From(err)).To(gomega.And(gomega.HaveField("Code", fault.Protocol), gomega.HaveField("Execution", fault.ExecutionUnknown)))
+	g.Eventually(ended, time.Second).Should(gomega.Receive())
+}
+
 func FuzzDecodeRequest(f *testing.F) {
 	r := Request{Attempt: 1, ID: "id", Root: "f/s/k", Target: "f/s/k", Remaining: time.Second, Method: "GET", Path: "/", Header: []Field{{"A", "b"}}}
 	f.Add(r.append(nil))
