Soak: backend servers reject requests and send responses that nobody asked for

What was missing: the exchanges with faulty backend servers were tried on the platform's interface alone, with nodes in the test's process. The project's own daemon had no such fault in its soak.

Change: the stand-in sends, once a response has been sent, another one on the same connection, up to 8 ms later: without the call token, with that of the answered request, with another or with two, a rejection, of a wrong length, in chunks without an end, or no response at all. The checks are those of the soak: whole answers, honest refusals, at most once.

--- a/cmd/umberbench/soak.go
+++ b/cmd/umberbench/soak.go
@@ -30,6 +30,8 @@
 	refuseWrites, lastFault bool
 	// limits lets backend servers limit the rate of their requests, and leave.
 	limits bool
+	// stray lets backend servers reject requests and send responses that nobody asked for.
+	stray bool
 	// replayFailures runs soak.KnownFailures in place of the seeds.
 	replayFailures bool
 	// reportFile receives the reports as JSON; "" writes none.
@@ -90,7 +92,7 @@
 func (o soakOptions) plannedRuns(bin string) []soak.Options {
 	var out []soak.Options
 	add := func(seed uint64, span time.Duration, stalls bool) {
-		out = append(out, soak.Options{Bin: bin, Seed: seed, Duration: span, DiskStalls: stalls, PoisonRequest: o.poison, ServerLimits: o.limits, RefuseWrites: o.refuseWrites, LastFault: o.lastFault, Nodes: o.nodes, RequestRate: o.requestRate})
+		out = append(out, soak.Options{Bin: bin, Seed: seed, Duration: span, DiskStalls: stalls, PoisonRequest: o.poison, ServerLimits: o.limits, StrayResponses: o.stray, RefuseWrites: o.refuseWrites, LastFault: o.lastFault, Nodes: o.nodes, RequestRate: o.requestRate})
 	}
 	if o.replayFailures {
 		for _, f := range soak.KnownFailures {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -38,6 +38,15 @@
 	runSoak(t, limitSeeds, soak.Options{ServerLimits: true})
 }
 
+// straySeeds are the seeds of runs in which backend servers send responses to nobody.
+var straySeeds = []uint64{9703}
+
+// TestSoakWithStrayResponsesKeepsThePromises checks that responses that nobody asked for are not
+// delivered, and do not let a request run again, during the other faults.
+func TestSoakWithStrayResponsesKeepsThePromises(t *testing.T) {
+	runSoak(t, straySeeds, soak.Options{StrayResponses: true})
+}
+
 // refusalSeeds are the seeds of runs in which disks refuse writes.
 var refusalSeeds = []uint64{9500}
 
--- a/internal/soak/act.go
+++ b/internal/soak/act.go
@@ -70,6 +70,8 @@
 		r.limitServer(m, s)
 	case s.Kind == ServerLeaving:
 		r.leaveServer(m, s)
+	case s.Kind == ServerStray:
+		r.sendStrayResponses(m, s)
 	default:
 		r.forEachRelay(m, func(l *relay.Relay) { setRelayFault(l, s.Kind, true) })
 		time.Sleep(s.For)
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -159,3 +159,25 @@
 		}
 	})
 }
+
+// Guards against stray plans that differ for the same seed, or end a step that another one began.
+func TestStrayPlanIsDeterministic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		const span = 20 * time.Second
+		steps := StrayPlan(seed, 6, span)
+		if !slices.Equal(steps, StrayPlan(seed, 6, span)) {
+			t.Fatal("stray plans for the same seed differ")
+		}
+		busyUntil := map[int]time.Duration{}
+		for _, s := range steps {
+			if s.At < busyUntil[s.Target] {
+				t.Fatalf("%v overlaps with another step on its server", s)
+			}
+			busyUntil[s.Target] = s.At + s.For
+			if s.Kind != ServerStray || s.For < minStrayTime || s.For > maxStrayTime || s.Target < 0 || s.Target >= 6 || s.At > span {
+				t.Fatalf("invalid step: %v", s)
+			}
+		}
+	})
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,6 +29,9 @@
 	RefuseWrites, LastFault bool
 	// ServerLimits adds backend servers that limit their requests or leave to the plan.
 	ServerLimits bool
+	// StrayResponses adds backend servers that reject requests and send responses that nobody
+	// asked for to the plan.
+	StrayResponses bool
 	// Nodes is the number of nodes, at least 6.
 	Nodes int
 	// RequestRate is the number of requests per second; 0 selects the default.
@@ -152,6 +155,9 @@
 	if r.options.ServerLimits {
 		steps = mergeSteps(steps, LimitPlan(r.options.Seed, r.options.Nodes, r.options.Duration))
 	}
+	if r.options.StrayResponses {
+		steps = mergeSteps(steps, StrayPlan(r.options.Seed, r.options.Nodes, r.options.Duration))
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	var load, acts sync.WaitGroup
 	load.Add(2)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -107,6 +107,10 @@
 	RateLimit string `json:"rate_limit"`
 	// Leaving makes all responses say that the server is about to shut down.
 	Leaving bool `json:"leaving"`
+	// RejectionRate is the fraction of requests that are rejected before they are executed, and
+	// StrayRate the fraction of responses that another one follows, which nobody asked for.
+	RejectionRate float64 `json:"reject"`
+	StrayRate     float64 `json:"stray"`
 }
 
 // RequestStats counts the executions of one request id.
@@ -174,8 +178,8 @@
 	mux.HandleFunc("/_standin/faults", s.serveFaults)
 	mux.HandleFunc("/_standin/work", s.serveWork)
 	mux.HandleFunc("/", s.serve)
-	s.httpServer = &http.Server{Handler: mux}
-	go func() { _ = s.httpServer.Serve(ln) }()
+	s.httpServer = &http.Server{Handler: mux, ConnState: trackConn, ConnContext: withConn}
+	go func() { _ = s.httpServer.Serve(strayListener{ln}) }()
 	go s.announceLoop()
 	return s, nil
 }
@@ -363,6 +367,14 @@
 	f.setHeader(w.Header())
 	w.Header().Set("Umber-Call", r.Header.Get("Umber-Call"))
 	defer s.recordSaid(f)
+	if f.StrayRate > 0 && rand.Float64() < f.StrayRate {
+		connOf(r).setNext(strayResponse(r.Header.Get("Umber-Call"), r.Header.Get("Umber-Request-Id")))
+	}
+	if f.RejectionRate > 0 && rand.Float64() < f.RejectionRate {
+		w.Header().Set("Umber-Run", "no")
+		http.Error(w, "rejected", http.StatusServiceUnavailable)
+		return
+	}
 	if f.FailureRate > 0 && rand.Float64() < f.FailureRate {
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
