Soak: one way to plan steps of backend servers

The plans of limits and of stray responses, and their tests, had the same loop each. serverPlan has it now, checkServerPlan the checks of both.

--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -36,22 +36,38 @@
 // same server.
 func LimitPlan(seed uint64, nodes int, span time.Duration) []Step {
 	r := rand.New(rand.NewPCG(seed, uint64(meanLimitInterval)))
-	var steps []Step
-	busyUntil := make([]time.Duration, nodes)
-	for at := initialDelay; at < span; at += time.Duration(r.ExpFloat64() * float64(meanLimitInterval)) {
-		s := Step{At: at, Kind: ServerLimit, Target: r.IntN(nodes), For: minLimitTime + time.Duration(r.Int64N(int64(maxLimitTime-minLimitTime)))}
+	// Another step may only end maxStepDuration after it began.
+	return serverPlan(r, nodes, span, meanLimitInterval, maxStepDuration, func() (StepKind, time.Duration) {
+		limited := drawDuration(r, minLimitTime, maxLimitTime)
 		if r.IntN(3) == 0 {
-			s.Kind, s.For = ServerLeaving, minLeavingTime+time.Duration(r.Int64N(int64(maxLeavingTime-minLeavingTime)))
+			return ServerLeaving, drawDuration(r, minLeavingTime, maxLeavingTime)
 		}
+		return ServerLimit, limited
+	})
+}
+
+// serverPlan draws steps of backend servers at random intervals. None begins on a server until pause
+// after the end of the one before it there.
+func serverPlan(r *rand.Rand, nodes int, span, meanInterval, pause time.Duration, draw func() (StepKind, time.Duration)) []Step {
+	var steps []Step
+	busyUntil := make([]time.Duration, nodes)
+	for at := initialDelay; at < span; at += time.Duration(r.ExpFloat64() * float64(meanInterval)) {
+		s := Step{At: at, Target: r.IntN(nodes)}
+		s.Kind, s.For = draw()
 		if at < busyUntil[s.Target] {
 			continue
 		}
-		busyUntil[s.Target] = at + s.For + maxStepDuration
+		busyUntil[s.Target] = at + s.For + pause
 		steps = append(steps, s)
 	}
 	return steps
 }
 
+// drawDuration draws a duration from shortest on, below longest.
+func drawDuration(r *rand.Rand, shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(r.Int64N(int64(longest-shortest)))
+}
+
 // limitServer makes a backend server name a limit, and checks what it gets.
 func (r *soakRun) limitServer(m *member, s Step) {
 	server := m.lockedServer()
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -137,14 +137,15 @@
 	g.Expect(r.violations).To(gomega.HaveLen(1))
 }
 
-// Guards against limit plans that differ for the same seed, or limits too short to be checked.
-func TestLimitPlanIsDeterministic(t *testing.T) {
+// checkServerPlan checks that a plan for backend servers is the same for the same seed, that its steps
+// do not overlap on a server, and that each is valid.
+func checkServerPlan(t *testing.T, plan func(seed uint64, nodes int, span time.Duration) []Step, isValid func(Step) bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
-		const span = 20 * time.Second
-		steps := LimitPlan(seed, 6, span)
-		if !slices.Equal(steps, LimitPlan(seed, 6, span)) {
-			t.Fatal("limit plans for the same seed differ")
+		const nodes, span = 6, 20 * time.Second
+		steps := plan(seed, nodes, span)
+		if !slices.Equal(steps, plan(seed, nodes, span)) {
+			t.Fatal("plans for the same seed differ")
 		}
 		busyUntil := map[int]time.Duration{}
 		for _, s := range steps {
@@ -152,32 +153,23 @@
 				t.Fatalf("%v overlaps with another step on its server", s)
 			}
 			busyUntil[s.Target] = s.At + s.For
-			long := s.Kind == ServerLeaving && s.For > drainGracePeriod || s.Kind == ServerLimit && s.For >= limitSettles+limitWindow
-			if !long || s.Target < 0 || s.Target >= 6 || s.At > span {
+			if !isValid(s) || s.Target < 0 || s.Target >= nodes || s.At > span {
 				t.Fatalf("invalid step: %v", s)
 			}
 		}
 	})
 }
 
+// Guards against limit plans that differ for the same seed, or limits too short to be checked.
+func TestLimitPlanIsDeterministic(t *testing.T) {
+	checkServerPlan(t, LimitPlan, func(s Step) bool {
+		return s.Kind == ServerLeaving && s.For > drainGracePeriod || s.Kind == ServerLimit && s.For >= limitSettles+limitWindow
+	})
+}
+
 // Guards against stray plans that differ for the same seed, or end a step that another one began.
 func TestStrayPlanIsDeterministic(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed")
-		const span = 20 * time.Second
-		steps := StrayPlan(seed, 6, span)
-		if !slices.Equal(steps, StrayPlan(seed, 6, span)) {
-			t.Fatal("stray plans for the same seed differ")
-		}
-		busyUntil := map[int]time.Duration{}
-		for _, s := range steps {
-			if s.At < busyUntil[s.Target] {
-				t.Fatalf("%v overlaps with another step on its server", s)
-			}
-			busyUntil[s.Target] = s.At + s.For
-			if s.Kind != ServerStray || s.For < minStrayTime || s.For > maxStrayTime || s.Target < 0 || s.Target >= 6 || s.At > span {
-				t.Fatalf("invalid step: %v", s)
-			}
-		}
+	checkServerPlan(t, StrayPlan, func(s Step) bool {
+		return s.Kind == ServerStray && s.For >= minStrayTime && s.For <= maxStrayTime
 	})
 }
--- a/internal/soak/stray.go
+++ b/internal/soak/stray.go
@@ -24,17 +24,9 @@
 // Plan. They overlap with other steps, but not with each other on the same server.
 func StrayPlan(seed uint64, nodes int, span time.Duration) []Step {
 	r := rand.New(rand.NewPCG(seed, uint64(meanStrayInterval)))
-	var steps []Step
-	busyUntil := make([]time.Duration, nodes)
-	for at := initialDelay; at < span; at += time.Duration(r.ExpFloat64() * float64(meanStrayInterval)) {
-		s := Step{At: at, Kind: ServerStray, Target: r.IntN(nodes), For: minStrayTime + time.Duration(r.Int64N(int64(maxStrayTime-minStrayTime)))}
-		if at < busyUntil[s.Target] {
-			continue
-		}
-		busyUntil[s.Target] = at + s.For
-		steps = append(steps, s)
-	}
-	return steps
+	return serverPlan(r, nodes, span, meanStrayInterval, 0, func() (StepKind, time.Duration) {
+		return ServerStray, drawDuration(r, minStrayTime, maxStrayTime)
+	})
 }
 
 // sendStrayResponses makes a backend server send stray responses during a step.
