A status that promises that nothing ran is passed on only if the backend server says so

Callers take 503, 429 and 408 for a promise that their request did not run and never will, whoever sent it; a backend server makes that promise by a mark of its own. A response with such a status, the id and the seal, but without the mark, was passed on as it came: a request that had run was answered "not run".

Evidence: "does not pass on a status that promises what the backend server does not say" got 503 for 502 on the code before.

Change: the entry answers 502 in its own name, without the seal, where the platform's adapter says that a status implies it (ImpliesNotExecuted). Retries of idempotent requests see the response as before. The project's own interface promises by a header field alone and is as it was.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -217,6 +217,11 @@
 // writeResponse sends a response to the caller. If the response body ends early, it aborts the
 // caller's connection, so that a truncated response never looks complete.
 func (n *Node) writeResponse(w http.ResponseWriter, c *call, resp *response) {
+	if ferr := n.unfoundedRefusal(resp); ferr != nil {
+		resp.close()
+		n.refuse(w, c, ferr)
+		return
+	}
 	defer resp.close()
 	h := w.Header()
 	for _, f := range resp.header {
@@ -242,6 +247,16 @@
 	n.recordOutcome(c, fault.None, fault.Executed)
 }
 
+// unfoundedRefusal returns an error in place of a backend server's response whose status tells the
+// caller that the request was not executed: a server that says so itself sends no response but a
+// rejection, and the request may have been executed.
+func (n *Node) unfoundedRefusal(resp *response) *fault.Error {
+	if n.opt.HTTPAdapter == nil || !n.opt.HTTPAdapter.ImpliesNotExecuted(resp.status) {
+		return nil
+	}
+	return fault.Newf(fault.Protocol, "the backend server responded with status %d without rejecting the request", resp.status).WithUnknownExecution()
+}
+
 // copyBuffers pools the buffers for copying responses to callers.
 var copyBuffers = sync.Pool{New: func() any {
 	b := make([]byte, copyBufferSize)
--- a/internal/node/http_adapter.go
+++ b/internal/node/http_adapter.go
@@ -26,6 +26,9 @@
 	// ClassifyResponse reads from a backend server's response whether it belongs to the
 	// request, whether the request was executed, and what it says about the server.
 	ClassifyResponse(r *http.Response, f BackendRequest) ResponseClass
+	// ImpliesNotExecuted reports whether callers take a status for a promise that the request was
+	// not executed, whoever sent it.
+	ImpliesNotExecuted(status int) bool
 }
 
 // CallerRequest holds the properties of a caller's request.
