--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -248,8 +248,8 @@
 }
 
 // unfoundedRefusal returns an error in place of a backend server's response whose status tells the
-// caller that the request was not executed: a server that says so itself sends no response but a
-// rejection, and the request may have been executed.
+// caller that the request was not executed. The server did not mark it as a rejection, so the request
+// may have been executed.
 func (n *Node) unfoundedRefusal(resp *response) *fault.Error {
 	if n.opt.HTTPAdapter == nil || !n.opt.HTTPAdapter.ImpliesNotExecuted(resp.status) {
 		return nil
