--- a/review/lab2/drain_case.go
+++ b/review/lab2/drain_case.go
@@ -22,9 +22,11 @@
 	clockStepTime = time.Second
 	// drainTime is the operators' drainMs, and drainMore how much longer the server serves.
 	drainTime = 2 * time.Second
-	drainMore = 2 * time.Second
+	drainMore = 1500 * time.Millisecond
 	// settleTime is the operators' settleWindowMs.
 	settleTime = 3 * time.Second
+	// workTime is how long a server works on a request.
+	workTime = 120 * time.Millisecond
 	// sendInterval is the time between two requests of a client.
 	sendInterval = 100 * time.Millisecond
 )
@@ -52,7 +54,7 @@
 	if err := f.putDocument(drainReplica, "00000000", firstDocument, 20*time.Second); err != nil {
 		return nil, err
 	}
-	other := &server{record: r, ip: drainEast2, service: "east", id: "i-east-2"}
+	other := &server{record: r, ip: drainEast2, service: "east", id: "i-east-2", work: workTime}
 	if err := other.startIncarnation(); err != nil {
 		return nil, err
 	}
@@ -60,7 +62,7 @@
 		return nil, err
 	}
 
-	s := &server{record: r, ip: drainEast1, service: "east", id: "i-east-1"}
+	s := &server{record: r, ip: drainEast1, service: "east", id: "i-east-1", work: workTime}
 	if err := s.startIncarnation(); err != nil {
 		return nil, err
 	}
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -22,6 +22,8 @@
 	ip, service, id string
 	// clockOffset is by how much the time of day of its instance has been stepped.
 	clockOffset time.Duration
+	// work is how long it works on a request.
+	work time.Duration
 
 	mu       sync.Mutex
 	http     *http.Server
@@ -162,6 +164,7 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, run{id: id, path: r.URL.Path, header: r.Header.Clone(), at: time.Now()})
 	s.mu.Unlock()
+	time.Sleep(s.work)
 	w.Header().Set(platform.AttemptID, id)
 	w.Header().Set(platform.ServerSeal, "seal-"+s.id)
 	w.Header().Set(platform.ServerLoad, fmt.Sprintf("1,0,%d", slots))
