Attempts that end without a response have log lines and a counter of their own

Lines about failed requests share 60 a second with refusals, which come by the hundred while no instance is available. Change: each attempt that may have been executed and that this node ends without a response is logged at its hop (server or peer) within 20 lines a second of their own, with reason, wait, time left, and whether the node is stopping, and counted by hop and reason (unanswered, umberthread_unanswered_total). A peer that fell silent and a server that was given up as silent differ by the hop. Test: TestUnansweredAttemptIsLoggedAmongRefusals. go test ./internal/node ./platform: green.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -117,6 +117,9 @@
 	Refusals map[string]int64 `json:"refusals"`
 	// BrokenResponses counts responses that could not be sent completely.
 	BrokenResponses int64 `json:"cut_off_answers"`
+	// Unanswered counts the sent requests that may have been executed and ended without a response, by
+	// hop (server or peer) and reason.
+	Unanswered map[string]int64 `json:"unanswered"`
 	// SilentConnections counts connections to other nodes that were found unresponsive.
 	SilentConnections int64        `json:"silent_connections"`
 	Control           ControlBytes `json:"control_bytes"`
@@ -207,7 +210,7 @@
 		Config: n.conf.Load().version, HeardVersion: n.gossip.highestVersion.Load(), ActivationDelayMs: n.versions.activationDelay().Milliseconds(),
 		ConfigFetches: n.versions.fetches.Load(), FailedConfigFetches: n.versions.failedFetches.Load(), Replicas: len(v.replicas), UnresponsiveAddresses: n.gossip.lostAddresses(), Backend: n.backendStatus(), State: nodeChart.StateName(n.state.load()),
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.servedRequests.Load(), Calls: n.stats.firstAttempts.Load(),
-		Retries: n.stats.retries.Load(), Refusals: n.stats.refusalsByReason(), BrokenResponses: n.stats.brokenResponses.Load(),
+		Retries: n.stats.retries.Load(), Refusals: n.stats.refusalsByReason(), BrokenResponses: n.stats.brokenResponses.Load(), Unanswered: n.unanswered.byReason(),
 		SilentConnections: n.peers.silentConnections(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.droppedCounts(),
 		Quarantined: n.quarantine.status(), UnchargedRetries: n.stats.unchargedRetries.Load(), DeniedRetries: n.stats.deniedRetries.Load(),
 	}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -396,10 +396,12 @@
 		Repeat: c.isRepeat(), ContentFingerprint: uint64(c.fingerprints.Content), CallerFingerprint: uint64(c.fingerprints.Caller),
 		Method: c.method, Path: c.path, BodyLen: c.bodyLen, Header: withServerReport(c.header, n.serverReports.latest(now, in.Addr)),
 	}
+	sent := time.Now()
 	wireResp, err := n.peers.client(in.Addr, c.policy.Silence).Do(c.scope, req, c.body, c.stream)
 	if err != nil {
 		c.retryBudget.ForfeitLease(lease)
 		ferr := fault.From(err)
+		n.recordUnanswered(c, hopPeer, in.Addr, sent, ferr)
 		outcome := route.Outcome{Failed: isInstanceFailure(nil, ferr)}
 		if ferr.Code == fault.Deadline {
 			outcome.TimedOutAfter = n.clock() - now
--- a/internal/node/local_backend.go
+++ b/internal/node/local_backend.go
@@ -111,6 +111,7 @@
 			p.applyEvent(requestEventLose)
 		}
 		ferr.Execution = p.execution()
+		n.recordUnanswered(c, hopServer, be.client.Addr(), started, ferr)
 		n.recordIfBroken(be, c, ferr)
 		n.handleBackendFailure(be, ferr)
 		return nil, ferr
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,8 @@
 	quarantine *quarantineManager
 	stats      requestCounters
 	latencies  latency.Table
+	// unanswered counts the sent requests that ended without a response.
+	unanswered unansweredCounters
 	// requestLog rate-limits the log lines about requests.
 	requestLog requestLogLimiter
 	// rateLimitLog limits the log lines about the backend server's rate limit.
