An attempt in doubt goes on until another one has answered

Cause: a connection that was silently dropped looks like a slow response, so an idempotent request was ended after four times the slowest recent answer of its kind, and every request when the server took no new connection. Both are guesses; ending the attempt acts on them as if they were known. While many nodes stop, calls get slow and the second try finds no instance. Change: a doubt ends nothing. The node that chose the instance may make a second attempt under the budgets; of two under way the one that answers first counts, and the other is ended then. Where no second one can be made, or it fails, the first is awaited. A node beside the server tells the entry of its doubt by a frame that only clients of this release ask for (a bit of the attempt number), so both releases mix. TestSilentConnectionFailsRequest and TestServerThatHangsOnRequestsBeyondItsQueue asked for the error that ended the attempt; they ask now, within the same times, that the doubt is told, that the attempt goes on, and that connections are released. Tests of internal, platform, retry, route, e2e: green.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -94,6 +94,9 @@
 	// Misdirected means that another backend server than the intended one got the request
 	// and did not execute it.
 	Misdirected
+	// Doubted means that an attempt has had no response for far longer than usual. It goes on, so the
+	// code does not leave the node that made it.
+	Doubted
 	numCodes
 )
 
@@ -145,6 +148,7 @@
 	DiskRefused:      {"disk-refused", http.StatusServiceUnavailable, 9},
 	UnknownFormat:    {"unknown-format", http.StatusInternalServerError, 8},
 	Misdirected:      {"misdirected", http.StatusServiceUnavailable, 12},
+	Doubted:          {"doubted", http.StatusBadGateway, 15},
 }
 
 // String returns the name of the code as used in refusals and metrics.
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/progress"
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/sock"
 )
@@ -161,6 +162,38 @@
 // Other responses are read and discarded, as a faulty server may send a
 // duplicate response on a reused connection.
 func (c *Client) Do(s *scope.Scope, t RequestTraits, req *http.Request, matches func(*http.Response) bool) (*Response, error) {
+	p, err := c.Send(s, t, req, matches)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		if resp, state, err := p.Await(time.Time{}); state == progress.Ended {
+			return resp, err
+		}
+	}
+}
+
+// Pending is a request that was sent and whose response has not begun. Await or
+// Abandon must end it.
+type Pending struct {
+	c       *Client
+	conn    *conn
+	s       *scope.Scope
+	traits  RequestTraits
+	id      requestHash
+	req     *http.Request
+	matches func(*http.Response) bool
+	// sent is when the request was sent, and nextLook when to look whether it may never be answered,
+	// the zero time once that was told.
+	sent, nextLook time.Time
+	// mismatched counts the responses to other requests.
+	mismatched int
+	// unreachable is set if the server accepted no new connection at the last look.
+	unreachable bool
+}
+
+// Send sends a request like Do and does not wait for its response.
+func (c *Client) Send(s *scope.Scope, t RequestTraits, req *http.Request, matches func(*http.Response) bool) (*Pending, error) {
 	id := hashRequest(t.ID)
 	cn, err := c.acquire(s, id)
 	if err != nil {
@@ -170,55 +203,85 @@
 		c.putIdle(cn)
 		return nil, fault.New(s.Err(), "given up before it was sent")
 	}
-	resp, err := c.roundTrip(s, cn, t, req, matches)
-	if err != nil {
-		s.StopInterrupt()
-		c.lostConns.Add(1)
-		c.discard(cn)
-		return nil, err
-	}
-	if id != 0 && resp.StatusCode >= http.StatusBadRequest {
-		cn.refused = append(cn.refused, id)
+	p := &Pending{c: c, conn: cn, s: s, traits: t, id: id, req: req, matches: matches}
+	_ = cn.SetDeadline(s.Deadline())
+	if err := c.send(s, cn, req); err != nil {
+		return nil, p.fail(err)
 	}
-	return &Response{Response: resp, c: c, conn: cn, s: s}, nil
+	s.StopInterrupt()
+	p.sent = time.Now()
+	p.nextLook = p.sent.Add(c.opt.ProbeInterval)
+	return p, nil
 }
 
-// roundTrip sends a request on a connection and reads the head of the matching
-// response.
-func (c *Client) roundTrip(s *scope.Scope, cn *conn, t RequestTraits, req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
-	_ = cn.SetDeadline(s.Deadline())
-	if err := c.send(s, cn, req); err != nil {
-		return nil, err
+// fail ends the request with an error and closes its connection.
+func (p *Pending) fail(err error) error {
+	p.s.StopInterrupt()
+	p.c.lostConns.Add(1)
+	p.c.discard(p.conn)
+	return err
+}
+
+// Abandon ends the request and closes its connection.
+func (p *Pending) Abandon() { _ = p.fail(nil) }
+
+// IsUnreachable reports whether the request is in doubt because the server accepted no new
+// connection. Its open ones may still be answered: a busy server may not accept any, and one that
+// shuts down closes its listener first.
+func (p *Pending) IsUnreachable() bool { return p.unreachable }
+
+// Await waits for the head of the response until the given time, or without a bound if that is
+// zero. After a state other than Ended it may be called again.
+//
+// HTTP/1.1 has no heartbeat, so a connection that was dropped without a reset looks like a slow
+// response. Every ProbeInterval the request comes into doubt if the server accepts no new
+// connection, or if it is idempotent and has waited several times longer than the slowest recent
+// one of its kind. That is no evidence that it is lost, so it is not ended here.
+func (p *Pending) Await(until time.Time) (*Response, progress.State, error) {
+	if !p.s.InterruptOnCancel(p.conn.Conn) {
+		return nil, progress.Ended, p.fail(p.c.wrapError(p.s, nil, "reading from"))
+	}
+	resp, state, err := p.await(until)
+	if state != progress.Ended {
+		p.s.StopInterrupt()
+		return nil, state, nil
 	}
-	if s.Err() != fault.None {
-		return nil, fault.New(s.Err(), "given up while waiting").WithUnknownExecution()
+	if err != nil {
+		return nil, progress.Ended, p.fail(err)
+	}
+	if p.id != 0 && resp.StatusCode >= http.StatusBadRequest {
+		p.conn.refused = append(p.conn.refused, p.id)
 	}
-	sent := time.Now()
-	times := &c.firstByteTimes[t.Kind%MaxKinds]
-	for mismatched := 0; ; {
-		if err := c.awaitFirstByte(s, cn, times, t.Idempotent); err != nil {
-			return nil, err
+	return &Response{Response: resp, c: p.c, conn: p.conn, s: p.s}, progress.Ended, nil
+}
+
+// await is Await without the end of the request.
+func (p *Pending) await(until time.Time) (*http.Response, progress.State, error) {
+	times := &p.c.firstByteTimes[p.traits.Kind%MaxKinds]
+	for {
+		if state, err := p.awaitFirstByte(until, times); err != nil || state != progress.Ended {
+			return nil, state, err
 		}
 		arrived := time.Now()
-		resp, err := http.ReadResponse(cn.br, req)
+		resp, err := http.ReadResponse(p.conn.br, p.req)
 		if err != nil {
-			return nil, c.wrapError(s, err, "reading from")
+			return nil, progress.Ended, p.c.wrapError(p.s, err, "reading from")
 		}
 		if resp.StatusCode < http.StatusOK {
 			// Skip interim (1xx) responses.
 			continue
 		}
-		if matches == nil || matches(resp) {
-			times.record(arrived.Sub(sent))
+		if p.matches == nil || p.matches(resp) {
+			times.record(arrived.Sub(p.sent))
 			// More may follow on a connection that brought responses to other requests.
-			resp.Close = resp.Close || mismatched > 0
-			return resp, nil
+			resp.Close = resp.Close || p.mismatched > 0
+			return resp, progress.Ended, nil
 		}
-		if mismatched++; mismatched > maxMismatchedResponses || !discardMismatched(s, cn, resp) {
-			if s.Err() != fault.None {
-				return nil, c.wrapError(s, nil, "reading from")
+		if p.mismatched++; p.mismatched > maxMismatchedResponses || !discardMismatched(p.s, p.conn, resp) {
+			if p.s.Err() != fault.None {
+				return nil, progress.Ended, p.c.wrapError(p.s, nil, "reading from")
 			}
-			return nil, fault.New(fault.Protocol, "the response belongs to another request").WithUnknownExecution()
+			return nil, progress.Ended, fault.New(fault.Protocol, "the response belongs to another request").WithUnknownExecution()
 		}
 	}
 }
@@ -286,41 +349,50 @@
 	return err == nil && n < maxMismatchedBodyBytes
 }
 
-// awaitFirstByte waits for the response to begin. HTTP/1.1 has no heartbeat, so
-// a connection that was dropped without a reset looks like a slow response.
-// Every ProbeInterval it fails with BackendLost if the server accepts no new
-// connection, and with PeerSilent if an idempotent request has waited several
-// times longer than the slowest recent one of its kind. Other requests can't be
-// sent again, so a slow one is never failed as silent.
-func (c *Client) awaitFirstByte(s *scope.Scope, cn *conn, t *latencyTracker, idempotent bool) error {
-	start := time.Now()
+// awaitFirstByte waits until a response begins, the request comes into doubt or the given time.
+func (p *Pending) awaitFirstByte(until time.Time, t *latencyTracker) (progress.State, error) {
 	for {
-		pollDeadline := time.Now().Add(c.opt.ProbeInterval)
-		final := !pollDeadline.Before(s.Deadline())
-		if final {
-			pollDeadline = s.Deadline()
+		pollDeadline := p.s.Deadline()
+		for _, at := range [...]time.Time{until, p.nextLook} {
+			if !at.IsZero() && at.Before(pollDeadline) {
+				pollDeadline = at
+			}
 		}
-		_ = cn.SetReadDeadline(pollDeadline)
-		if s.Err() != fault.None {
-			return fault.New(s.Err(), "given up while waiting").WithUnknownExecution()
+		_ = p.conn.SetReadDeadline(pollDeadline)
+		if p.s.Err() != fault.None {
+			return progress.Ended, fault.New(p.s.Err(), "given up while waiting").WithUnknownExecution()
 		}
-		_, err := cn.br.Peek(1)
+		_, err := p.conn.br.Peek(1)
 		if err == nil {
-			_ = cn.SetReadDeadline(s.Deadline())
-			return nil
-		}
-		if final || s.Err() != fault.None || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return c.wrapError(s, err, "reading from")
+			_ = p.conn.SetReadDeadline(p.s.Deadline())
+			return progress.Ended, nil
 		}
-		if !c.Reachable() {
-			return fault.New(fault.BackendLost, "the backend server no longer takes connections").WithUnknownExecution()
-		}
-		if idempotent && t.isSilent(time.Since(start)) {
-			return fault.New(fault.PeerSilent, "no response on this connection for far longer than recent requests took").WithUnknownExecution()
+		now := time.Now()
+		switch {
+		case p.s.Err() != fault.None || !errors.Is(err, os.ErrDeadlineExceeded):
+			return progress.Ended, p.c.wrapError(p.s, err, "reading from")
+		case !p.nextLook.IsZero() && !now.Before(p.nextLook):
+			if p.comesIntoDoubt(now, t) {
+				return progress.Doubted, nil
+			}
+		case !until.IsZero() && !now.Before(until):
+			return progress.Waiting, nil
 		}
 	}
 }
 
+// comesIntoDoubt looks whether the request may never be answered, and schedules the next look, none
+// after the doubt.
+func (p *Pending) comesIntoDoubt(now time.Time, t *latencyTracker) bool {
+	p.unreachable = !p.c.Reachable()
+	if p.unreachable || p.traits.Idempotent && t.isSilent(now.Sub(p.sent)) {
+		p.nextLook = time.Time{}
+		return true
+	}
+	p.nextLook = time.Now().Add(p.c.opt.ProbeInterval)
+	return false
+}
+
 // Reachable reports whether the server accepts a new connection.
 func (c *Client) Reachable() bool {
 	probe, err := net.DialTimeout("tcp", c.addr, c.opt.DialTimeout)
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -120,6 +120,8 @@
 	// Unanswered counts the sent requests that may have been executed and ended without a response, by
 	// hop (server or peer) and reason.
 	Unanswered map[string]int64 `json:"unanswered"`
+	// DoubtedAttempts counts the attempts that had no response for far longer than usual. They went on.
+	DoubtedAttempts int64 `json:"doubted_attempts"`
 	// SilentConnections counts connections to other nodes that were found unresponsive.
 	SilentConnections int64        `json:"silent_connections"`
 	Control           ControlBytes `json:"control_bytes"`
@@ -210,7 +212,7 @@
 		Config: n.conf.Load().version, HeardVersion: n.gossip.highestVersion.Load(), ActivationDelayMs: n.versions.activationDelay().Milliseconds(),
 		ConfigFetches: n.versions.fetches.Load(), FailedConfigFetches: n.versions.failedFetches.Load(), Replicas: len(v.replicas), UnresponsiveAddresses: n.gossip.lostAddresses(), Backend: n.backendStatus(), State: nodeChart.StateName(n.state.load()),
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.servedRequests.Load(), Calls: n.stats.firstAttempts.Load(),
-		Retries: n.stats.retries.Load(), Refusals: n.stats.refusalsByReason(), BrokenResponses: n.stats.brokenResponses.Load(), Unanswered: n.unanswered.byReason(),
+		Retries: n.stats.retries.Load(), Refusals: n.stats.refusalsByReason(), BrokenResponses: n.stats.brokenResponses.Load(), Unanswered: n.unanswered.byReason(), DoubtedAttempts: n.stats.doubtedAttempts.Load(),
 		SilentConnections: n.peers.silentConnections(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.droppedCounts(),
 		Quarantined: n.quarantine.status(), UnchargedRetries: n.stats.unchargedRetries.Load(), DeniedRetries: n.stats.deniedRetries.Load(),
 	}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -68,6 +68,8 @@
 	caller       string
 	fingerprints quarantine.Fingerprints
 
+	// underWay are the attempts that were sent and have not ended.
+	underWay []attempt
 	// attempts counts the attempts, retries included.
 	attempts int
 	// avoidInstance is the instance of the last attempt, lastFailure the reason for its
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -28,6 +28,8 @@
 	// refusedRepeats counts the repeats that were not sent to the local backend server because
 	// the ratio of its service was used up.
 	refusedRepeats atomic.Int64
+	// doubtedAttempts counts the attempts that came into doubt before they were answered.
+	doubtedAttempts atomic.Int64
 	// brokenResponses counts the responses that could not be sent completely.
 	brokenResponses atomic.Int64
 	// servedRequests counts the requests of callers and of the local backend server that
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -13,6 +13,10 @@
 // the attempt number of its request, so that a truncated or misdirected reply
 // is reported as an error.
 //
+// A request whose attempt number has AcceptsDoubt set may get a doubt frame in
+// place of a heartbeat: the server suspects that the backend server will never
+// respond, and goes on waiting. The client may then make another attempt.
+//
 // A client cancels a request by closing the connection. The server detects this
 // in its next sweep, once it has read the request's body, and cancels the
 // request's scope.
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -22,6 +22,7 @@
 	frameHeartbeat
 	framePing
 	framePong
+	frameDoubt
 )
 
 const (
@@ -82,7 +83,7 @@
 	}
 	t := frameType(l.header[0])
 	n := binary.BigEndian.Uint32(l.header[1:])
-	if t < frameRequest || t > framePong || n > maxPayload(t) {
+	if t < frameRequest || t > frameDoubt || n > maxPayload(t) {
 		return 0, nil, fault.New(fault.Protocol, "malformed frame header")
 	}
 	if cap(l.readBuf) < int(n) {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -14,6 +14,11 @@
 // Streamed is the BodyLen of a body of unknown length.
 const Streamed int64 = -1
 
+// AcceptsDoubt is the bit of Request.Attempt by which a client says that it
+// knows the doubt frame. Clients of earlier releases count attempts from 1 and
+// never set it.
+const AcceptsDoubt uint64 = 1 << 63
+
 // Request is the head of a request between nodes.
 type Request struct {
 	// Attempt identifies the attempt among those of the sending node; the
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -216,10 +216,13 @@
 	return err
 }
 
-var heartbeatFrame = appendFrame(nil, frameHeartbeat, nil)
+var (
+	heartbeatFrame = appendFrame(nil, frameHeartbeat, nil)
+	doubtFrame     = appendFrame(nil, frameDoubt, nil)
+)
 
 // check cancels the request in progress if the client has closed the connection,
-// or sends a heartbeat if one is due.
+// or sends a heartbeat if one is due, or a doubt that the client has not heard of.
 func (c *serverConn) check(now time.Time) {
 	x := c.current.Load()
 	if x == nil {
@@ -233,11 +236,17 @@
 		return
 	}
 	defer c.writeMu.Unlock()
-	if c.current.Load() != x || x.replyEnded || now.Sub(c.lastWrite) < c.srv.opt.Heartbeat {
+	if c.current.Load() != x || x.replyEnded {
+		return
+	}
+	frame := heartbeatFrame
+	if x.doubted.CompareAndSwap(true, false) && !x.replyBegun {
+		frame = doubtFrame
+	} else if now.Sub(c.lastWrite) < c.srv.opt.Heartbeat {
 		return
 	}
 	c.lastWrite = now
-	if _, err := c.Write(heartbeatFrame); err != nil {
+	if _, err := c.Write(frame); err != nil {
 		x.Scope.Cancel(fault.Canceled)
 	}
 }
@@ -254,8 +263,11 @@
 	conn     *serverConn
 	body     *bodyReader
 	bodyRead atomic.Bool
-	// replyEnded is set with the last part of the reply; conn.writeMu guards it.
-	replyEnded bool
+	// doubted is set while the client has to be told that the backend server may never respond.
+	doubted atomic.Bool
+	// replyBegun is set with the first part of the reply, and replyEnded with the last one;
+	// conn.writeMu guards them.
+	replyBegun, replyEnded bool
 	// replied is set once the complete reply is written.
 	replied bool
 }
@@ -264,6 +276,14 @@
 // on, the server detects a client that closes the connection.
 func (x *Exchange) MarkBodyRead() { x.bodyRead.Store(true) }
 
+// ReportDoubt tells the client, if it knows the doubt frame, that the backend server may never
+// respond.
+func (x *Exchange) ReportDoubt() {
+	if x.Request.Attempt&AcceptsDoubt != 0 {
+		x.doubted.Store(true)
+	}
+}
+
 // Reply sends the reply with an in-memory body, or with a body read from stream
 // if body is nil. After an error the connection is closed, so that the client
 // detects a truncated reply.
@@ -303,7 +323,7 @@
 	c := x.conn
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	x.replyEnded = last
+	x.replyBegun, x.replyEnded = true, last
 	if len(buf) == 0 {
 		return nil
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -98,7 +98,7 @@
 		return c.Attempts == 1 && f.InstanceChosen
 	case fault.NoBackend, fault.Misdirected, fault.RateLimited, fault.RetryBudgetSpent:
 		return f.InstanceChosen
-	case fault.PeerLost, fault.PeerSilent, fault.BackendLost, fault.Draining, fault.Starting, fault.Protocol, fault.Rejected:
+	case fault.PeerLost, fault.PeerSilent, fault.Doubted, fault.BackendLost, fault.Draining, fault.Starting, fault.Protocol, fault.Rejected:
 		return true
 	default:
 		return false
