Connections to the backend server are probed by the system every second

What callers would see: since a doubt ends nothing, a request on a connection that was dropped without a reset waits until its deadline if no other instance can answer. Cause: the probes of the system came after 15 s; the guess before stood in for them. Change: probes after 1 s, each second, two of them. A slow server's system confirms them, so they are evidence. Not covered: a request sent on a connection that is already dropped and not yet probed, as the system does not probe while data is unconfirmed; it is in doubt after a second. Test: TestConnectionsAreProbed (15, 15, 9 before). That a dropped connection ends by it was not shown here: it takes a network that drops packets. go test ./internal/backend: green.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -519,9 +519,14 @@
 	return fault.New(fault.BackendLost, "the connections to this run of the backend server were aborted")
 }
 
+// keepAliveProbes detect a connection that was dropped without a reset, within three seconds. Unlike
+// a long wait they are evidence: the system of a slow server confirms them.
+var keepAliveProbes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // dial opens the connection that popIdle has reserved.
 func (c *Client) dial(s *scope.Scope) (*conn, error) {
-	raw, err := net.DialTimeout("tcp", c.addr, min(c.opt.DialTimeout, max(s.Remaining(), time.Millisecond)))
+	dialer := net.Dialer{Timeout: min(c.opt.DialTimeout, max(s.Remaining(), time.Millisecond)), KeepAliveConfig: keepAliveProbes}
+	raw, err := dialer.Dial("tcp", c.addr)
 	if err != nil {
 		c.mu.Lock()
 		c.openCount--
--- a/internal/backend/connection_reuse_test.go
+++ b/internal/backend/connection_reuse_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -122,3 +123,26 @@
 	defer mu.Unlock()
 	g.Expect(remotes).To(gomega.HaveLen(2))
 }
+
+// A connection that is dropped without a reset must be detected by its system, as a request on it
+// waits otherwise until its deadline if no other server can answer.
+func TestConnectionsAreProbed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	direct, _, _ := startServer(t, echo)
+	c := New(direct, options())
+	_, ferr := fetch(c, "/a", time.Second)
+	g.Expect(ferr).To(gomega.BeNil())
+	raw, err := c.idle[0].Conn.(*net.TCPConn).SyscallConn()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	options := map[int]int{syscall.TCP_KEEPIDLE: 1, syscall.TCP_KEEPINTVL: 1, syscall.TCP_KEEPCNT: 2}
+	g.Expect(raw.Control(func(fd uintptr) {
+		on, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(on).To(gomega.Equal(1))
+		for option, want := range options {
+			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, option)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(got).To(gomega.Equal(want))
+		}
+	})).To(gomega.Succeed())
+}
