The answer to a keyed request is kept in memory only as far as it is stored

Cause: the whole body was read before it was answered, whatever its length; one without end takes the process. Change: up to the size that resends get (16 KiB) it is read, beyond it is streamed, and its outcome is stored without a body, as before. Tests of keyed requests, resends and partitions in internal/node: green.

--- a/internal/node/idempotency.go
+++ b/internal/node/idempotency.go
@@ -145,22 +145,27 @@
 		o.node.refuse(w, o.call, ferr)
 		return
 	}
-	body, err := io.ReadAll(resp.body)
-	resp.close()
+	body, err := io.ReadAll(io.LimitReader(resp.body, claims.MaxBodyBytes+1))
 	if err != nil {
+		resp.close()
 		ferr := fault.From(err).WithUnknownExecution()
 		ferr.Code = fault.OutcomeUnknown
 		o.node.refuse(w, o.call, ferr)
 		return
 	}
+	if len(body) <= claims.MaxBodyBytes {
+		resp.close()
+		resp.length, resp.body, resp.close = int64(len(body)), bytes.NewReader(body), func() {}
+	} else {
+		// What is not stored is not kept in memory either.
+		resp.body = io.MultiReader(bytes.NewReader(body), resp.body)
+	}
 	o.storeOutcome(resp, body)
-	resp.body = bytes.NewReader(body)
-	resp.length = int64(len(body))
-	resp.close = func() {}
 	o.node.writeResponse(w, o.call, resp)
 }
 
-// storeOutcome stores the response for resends; a body beyond claims.MaxBodyBytes is left out.
+// storeOutcome stores the response for resends. body is that of the response, or more than
+// claims.MaxBodyBytes of it, in which case it is left out.
 func (o *keyedAttempt) storeOutcome(resp *response, body []byte) {
 	out := &claims.Outcome{Status: resp.status, ContentType: headerValue(resp.header, "Content-Type"), Body: body}
 	if len(body) > claims.MaxBodyBytes {
