Soak: planned stops in series while servers are late; no execution may be broken off without an answer

Now: a plan of stops that overlap and of changes, all servers late (a second and more) for half of the time, and each execution that a node breaks off whose caller gets no answer though there was time for it is a violation.

--- a/cmd/umberbench/main.go
+++ b/cmd/umberbench/main.go
@@ -69,6 +69,7 @@
 	soaks.Flag("nodes", "Number of nodes of each fleet, at least 6.").Default("6").IntVar(&sk.nodes)
 	soaks.Flag("rate", "Requests per second to each fleet.").Default("120").IntVar(&sk.requestRate)
 	soaks.Flag("limits", "Let backend servers limit the rate of their requests, and leave.").BoolVar(&sk.limits)
+	soaks.Flag("stops", "Play planned work alone: stops in series that overlap, while backend servers are slow now and then.").BoolVar(&sk.stops)
 	soaks.Flag("stray", "Let backend servers reject requests, and send responses that nobody asked for.").BoolVar(&sk.stray)
 	soaks.Flag("stalls", "Let the disks of replicas stall too, for 0.5 to 3.5 s at a time.").BoolVar(&sk.stalls)
 	soaks.Flag("refuse-writes", "Let the disks of replicas refuse writes, for 0.5 to 4 s at a time, and at the end lose another disk after that.").BoolVar(&sk.refuseWrites)
--- a/cmd/umberbench/soak.go
+++ b/cmd/umberbench/soak.go
@@ -32,6 +32,8 @@
 	limits bool
 	// stray lets backend servers reject requests and send responses that nobody asked for.
 	stray bool
+	// stops plays planned work alone.
+	stops bool
 	// replayFailures runs soak.KnownFailures in place of the seeds.
 	replayFailures bool
 	// reportFile receives the reports as JSON; "" writes none.
@@ -92,7 +94,7 @@
 func (o soakOptions) plannedRuns(bin string) []soak.Options {
 	var out []soak.Options
 	add := func(seed uint64, span time.Duration, stalls bool) {
-		out = append(out, soak.Options{Bin: bin, Seed: seed, Duration: span, DiskStalls: stalls, PoisonRequest: o.poison, ServerLimits: o.limits, StrayResponses: o.stray, RefuseWrites: o.refuseWrites, LastFault: o.lastFault, Nodes: o.nodes, RequestRate: o.requestRate})
+		out = append(out, soak.Options{Bin: bin, Seed: seed, Duration: span, DiskStalls: stalls, PoisonRequest: o.poison, ServerLimits: o.limits, StrayResponses: o.stray, PlannedStops: o.stops, RefuseWrites: o.refuseWrites, LastFault: o.lastFault, Nodes: o.nodes, RequestRate: o.requestRate})
 	}
 	if o.replayFailures {
 		for _, f := range soak.KnownFailures {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -47,6 +47,23 @@
 	runSoak(t, straySeeds, soak.Options{StrayResponses: true})
 }
 
+// stopSeeds are the seeds of runs of planned work alone.
+var stopSeeds = []uint64{7000}
+
+// TestSoakWithPlannedStopsFinishesExecutions checks that no request is broken off at its server and
+// left without an answer while nodes stop in series and servers are late. The servers are
+// overloaded then, so it does not ask how many requests are served.
+func TestSoakWithPlannedStopsFinishesExecutions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, seed := range stopSeeds {
+		rep, err := soak.Run(soak.Options{Bin: binDir, Seed: seed, Duration: faultDuration, PlannedStops: true})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(rep.Broken).To(gomega.BeEmpty(), "seed %d, steps %v, logs in %s", seed, rep.Steps, rep.Folder)
+		g.Expect(rep.Served).To(gomega.BeNumerically(">", 0))
+		t.Logf("seed %d: %d steps, %d attempts, %d served, outcomes %v", seed, len(rep.Steps), rep.Attempts, rep.Served, rep.Outcomes)
+	}
+}
+
 // refusalSeeds are the seeds of runs in which disks refuse writes.
 var refusalSeeds = []uint64{9500}
 
--- a/internal/soak/act.go
+++ b/internal/soak/act.go
@@ -70,6 +70,8 @@
 		r.limitServer(m, s)
 	case s.Kind == ServerLeaving:
 		r.leaveServer(m, s)
+	case s.Kind == AllServersLate:
+		r.slowAllServers(s)
 	case s.Kind == ServerStray:
 		r.sendStrayResponses(m, s)
 	default:
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -167,6 +167,20 @@
 	})
 }
 
+// Guards against plans of planned work that differ for the same seed, or hold anything else.
+func TestStopsPlanIsDeterministic(t *testing.T) {
+	g := gomega.NewWithT(t)
+	steps := StopsPlan(1, minNodes, time.Minute)
+	g.Expect(StopsPlan(1, minNodes, time.Minute)).To(gomega.Equal(steps))
+	kinds := map[StepKind]int{}
+	for _, s := range steps {
+		kinds[s.Kind]++
+	}
+	g.Expect(kinds).To(gomega.HaveLen(3))
+	g.Expect(kinds[StopProcess]).To(gomega.BeNumerically(">", 10))
+	g.Expect(kinds[AllServersLate]).To(gomega.BeNumerically(">", 10))
+}
+
 // Guards against stray plans that differ for the same seed, or end a step that another one began.
 func TestStrayPlanIsDeterministic(t *testing.T) {
 	checkServerPlan(t, StrayPlan, func(s Step) bool {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -32,6 +32,8 @@
 	// StrayResponses adds backend servers that reject requests and send responses that nobody
 	// asked for to the plan.
 	StrayResponses bool
+	// PlannedStops replaces the plan by planned work alone: stops in series while servers are late.
+	PlannedStops bool
 	// Nodes is the number of nodes, at least 6.
 	Nodes int
 	// RequestRate is the number of requests per second; 0 selects the default.
@@ -146,6 +148,9 @@
 // execute executes the plan under load and checks the promises.
 func (r *soakRun) execute() *Report {
 	steps := Plan(r.options.Seed, r.options.Nodes, replicas, r.options.Duration)
+	if r.options.PlannedStops {
+		steps = StopsPlan(r.options.Seed, r.options.Nodes, r.options.Duration)
+	}
 	if r.options.DiskStalls {
 		steps = mergeSteps(steps, StallPlan(r.options.Seed, replicas, r.options.Duration))
 	}
@@ -190,6 +195,9 @@
 	stop()
 	load.Wait()
 	r.checkPromises()
+	if r.options.PlannedStops {
+		r.checkAbandoned()
+	}
 	rep := &Report{Seed: r.options.Seed, Steps: steps, Played: played, Recovered: recovered, Missed: missed, Repaired: repaired, InForce: inForce, FirstChange: firstChange, Folder: r.fleet.Dir, Broken: r.violations, Stated: r.stated, Judged: r.judged, Repeats: r.repeats, Changes: len(r.operators.acceptedChanges()), Outcomes: map[string]int{}}
 	for _, a := range r.callers.recordedAttempts() {
 		rep.count(a, r.isServable(a))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -119,6 +119,8 @@
 	Executions int `json:"runs"`
 	// Responses counts the complete successful responses.
 	Responses int `json:"done"`
+	// Abandoned counts the executions whose connection was closed before they ended.
+	Abandoned int `json:"abandoned"`
 	// ServiceMicroseconds is the total service time without nested calls.
 	ServiceMicroseconds int64 `json:"us"`
 }
@@ -436,11 +438,13 @@
 	slept := sleep(ctx, s.drawServiceTime(k, f))
 	s.recordServiceTime(id, time.Since(start))
 	if !slept {
+		s.recordIfAbandoned(r, id)
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return http.StatusGatewayTimeout
 	}
 	for _, target := range k.Calls {
 		if status := s.callNested(ctx, w, r, target); status != http.StatusOK {
+			s.recordIfAbandoned(r, id)
 			return status
 		}
 	}
@@ -541,6 +545,16 @@
 	}
 }
 
+// recordIfAbandoned counts an execution that ended as its connection was closed.
+func (s *Server) recordIfAbandoned(r *http.Request, id string) {
+	if r.Context().Err() == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statsByID[id].Abandoned++
+}
+
 // recordServiceTime adds to the service time of a request.
 func (s *Server) recordServiceTime(id string, d time.Duration) {
 	s.mu.Lock()
