A node without heartbeats brings requests into doubt, and does not end them

What callers saw: 502 from the entry after a second without a heartbeat, while the server beside the other node executed their request; a streamed answer was broken off likewise. A node that misses five heartbeats may be lost, or only busy: the attempt was ended as if it were known. Then, with a peer whose heartbeats are an hour apart: 502 and 503 after 1.04 s, 2 of 2; a body that pauses is cut. Once a reply has begun, its body is read until the deadline. What it costs: a request that may not be sent again, at a node that was lost without a reset, fails at its deadline with 504 in place of after a second with 502; neither promises anything.

--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -83,7 +83,12 @@
 // await implements exchange.
 func (x *peerExchange) await(until time.Time) (*response, progress.State, *fault.Error) {
 	wireResp, state, err := x.pending.Await(until)
-	if state != progress.Ended {
+	switch {
+	case state == progress.Doubted && x.pending.IsSilent():
+		// It gets no more requests until it responds to a ping.
+		x.node.peers.markUnreachable(x.instance.Addr, x.instance.Observed)
+		return nil, state, nil
+	case state != progress.Ended:
 		return nil, state, nil
 	}
 	if err != nil {
--- a/internal/node/slow_attempt_test.go
+++ b/internal/node/slow_attempt_test.go
@@ -199,3 +199,22 @@
 	g.Expect(r.status).To(gomega.Equal(http.StatusOK), r.body)
 	g.Expect(time.Since(sent)).To(gomega.BeNumerically("<", slowWork+time.Second))
 }
+
+// A node that is too busy to send heartbeats must not lose the requests that its server executes,
+// whether they may be sent again or not.
+func TestRequestAtANodeWithoutHeartbeatsIsAnswered(t *testing.T) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "not idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			beside := startNode(t, "a", nil, func(o *Options) { o.Heartbeat = Duration{time.Hour} })
+			entry := startNode(t, "a", []string{beside.opt.Control}, nil)
+			useSettings(t, strings.Replace(slowAttemptSettings, "idempotent = true", "idempotent = "+strconv.FormatBool(idempotent), 1), beside, entry)
+			s := startSlowServer(t, beside, "one", workFor(slowWork))
+			entry.awaitInstances("f/s", 1)
+			r := entry.call("f/s/k", "slow", nil, nil)
+			g.Expect(r.status).To(gomega.Equal(http.StatusOK), r.body)
+			g.Expect(r.body).To(gomega.Equal("one"))
+			g.Expect(s.started.Load()).To(gomega.BeEquivalentTo(1))
+		})
+	}
+}
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -14,13 +14,10 @@
 	remaining int64
 	done      bool
 	err       error
-	// beforeRead, if not nil, is called before each frame is read; the client
-	// extends its read deadline in it.
-	beforeRead func()
 }
 
-func newBodyReader(conn *frameConn, length int64, before func()) *bodyReader {
-	return &bodyReader{conn: conn, remaining: length, done: length == 0, beforeRead: before}
+func newBodyReader(conn *frameConn, length int64) *bodyReader {
+	return &bodyReader{conn: conn, remaining: length, done: length == 0}
 }
 
 // Read implements io.Reader. It returns io.EOF only after a complete body.
@@ -41,9 +38,6 @@
 
 // readNext reads the next frame of the body.
 func (b *bodyReader) readNext() error {
-	if b.beforeRead != nil {
-		b.beforeRead()
-	}
 	t, payload, err := b.conn.readFrame()
 	if err != nil {
 		if err == io.EOF {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -193,7 +193,7 @@
 	_ = c.SetReadDeadline(deadline)
 	_ = c.SetWriteDeadline(deadline.Add(replyGrace))
 	x.Scope = scope.New(deadline)
-	x.body = newBodyReader(c.frameConn, x.Request.BodyLen, nil)
+	x.body = newBodyReader(c.frameConn, x.Request.BodyLen)
 	x.Body = x.body
 	c.writeMu.Lock()
 	c.lastWrite = now
