--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -25,9 +25,9 @@
 }
 
 const (
-	// maxAttemptsUnderWay is the maximum number of attempts of a call that are under way at a time:
+	// underWayMax is the maximum number of attempts of a call that are under way at a time:
 	// one in doubt, and the one that may answer in its place.
-	maxAttemptsUnderWay = 2
+	underWayMax = 2
 	// alternateInterval is how long one of several attempts under way is awaited before the other.
 	alternateInterval = 20 * time.Millisecond
 )
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -77,7 +77,7 @@
 			return n.unwrapRefusal(c, resp)
 		}
 		switch {
-		case len(c.underWay) < maxAttemptsUnderWay && n.reserveRetry(c, in, ferr, throttle):
+		case len(c.underWay) < underWayMax && n.reserveRetry(c, in, ferr, throttle):
 			resp, in, ferr = n.retryAttempt(c, resp, in, ferr)
 		case ferr != nil && len(c.underWay) > 0:
 			// No better attempt can be made than the one that may still be answered.
