intake, inbound: one bound for all that a process holds for those that connect

Cause of the users' trial: each reader of a process had a limit for one connection and none for all of them, so memory grew with the connections.

Weighed: a limit at each place (32 of them, and their sum is no bound); to refuse whoever comes next when memory is used up (refuses the proper callers, as the crowd stays); one budget for the process, taken before memory is allocated, from which the connections give way that have taken most for longest. The last one is here: intake is the decision, with a replay of a crowd of unfinished bodies beside proper uploads, none of which gives way; inbound is the shell with the accounts of connections, the caps of addresses and the limits of HTTP servers in one place. What is executed does not give way.

Nothing uses it yet.

--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,55 @@
+// Package intake decides which senders give way when a process has no room left for what is sent to
+// it. It does no I/O.
+//
+// A crowd of senders that begin requests and do not end them takes all the room that there is.
+// Refusing whoever comes next would refuse proper callers. Instead the senders that have taken most
+// room for longest give way: a proper request is read within moments, so it has taken little.
+package intake
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Sender is a connection whose request has not been read to its end, or that has none.
+type Sender struct {
+	// Held is the room that it takes: bytes, or 1 where connections are counted.
+	Held int64
+	// Since is when its request began or, if it has none, when it last had one.
+	Since time.Duration
+	// Served is set if an earlier request of it was read to its end.
+	Served bool
+}
+
+// servedWeight divides the cost of a sender that has ended a request before: a pooled connection is
+// useful again, and the next crowd need not be paid for by those who keep one.
+const servedWeight = 4
+
+// cost returns the room that a sender has taken, times how long, in units and nanoseconds.
+func (s Sender) cost(now time.Duration) float64 {
+	c := float64(s.Held) * float64(max(0, now-s.Since)+1)
+	if s.Served {
+		c /= servedWeight
+	}
+	return c
+}
+
+// Victims returns the indexes of the senders that give way, the costliest first, so that at least
+// need is free. If all senders together do not hold that much, it returns all that hold anything.
+func Victims(senders []Sender, need int64, now time.Duration) []int {
+	order := make([]int, 0, len(senders))
+	for i, s := range senders {
+		if s.Held > 0 {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(senders[b].cost(now), senders[a].cost(now)) })
+	for i, index := range order {
+		if need <= 0 {
+			return order[:i]
+		}
+		need -= senders[index].Held
+	}
+	return order
+}
--- /dev/null
+++ b/internal/inbound/conn.go
@@ -0,0 +1,228 @@
+package inbound
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/umberthread/umberthread/fault"
+)
+
+const (
+	// connBytes is the memory of a connection: its buffers, and the stacks of the goroutines that
+	// serve it.
+	connBytes = 24 << 10
+	// headFactor is the memory of a head that is being read, for each byte of it: one of very short
+	// lines takes that much. parsedHeadFactor is that of a head whose fields are counted themselves.
+	headFactor       = 24
+	parsedHeadFactor = 4
+)
+
+// protected in place of a time marks a connection that does not give way.
+const protected time.Duration = -1
+
+// past is a deadline that has expired.
+var past = time.Unix(1, 0)
+
+// errNoRoom is the error of reading from a connection that gave way.
+var errNoRoom = fault.New(fault.Overload, "the memory for requests is used up")
+
+// Conn is an accepted connection with the room that it takes. Between two requests and while it is
+// read it may give way; Protect excludes that. All methods but those of net.Conn do nothing on nil.
+type Conn struct {
+	net.Conn
+	gate     *Gate
+	listener *Listener
+
+	// held is the memory held for the connection, and forRequest the part that EndRequest returns.
+	held, forRequest atomic.Int64
+	// headBytes is the length of the head as far as it was read.
+	headBytes atomic.Int64
+	// since is when the request began or the connection became idle, on the gate's clock, or
+	// protected.
+	since atomic.Int64
+	// idle is set until the first byte of a request is read, and inHead until its head was read.
+	idle, inHead atomic.Bool
+	// responding is set while a response is written.
+	responding atomic.Bool
+	// served is set once a request was answered.
+	served  atomic.Bool
+	evicted atomic.Bool
+}
+
+// newConn returns the connection for one that a listener accepted.
+func newConn(raw net.Conn, l *Listener) *Conn {
+	c := &Conn{Conn: raw, gate: l.gate, listener: l}
+	c.since.Store(int64(l.gate.clock()))
+	c.idle.Store(true)
+	c.inHead.Store(true)
+	return c
+}
+
+type contextKey struct{}
+
+// FromContext returns the connection of an HTTP request, nil if another server accepted it.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(contextKey{}).(*Conn)
+	return c
+}
+
+// Of returns the Conn that is, or is wrapped by, a connection; nil if there is none.
+func Of(c net.Conn) *Conn {
+	for {
+		switch v := c.(type) {
+		case *Conn:
+			return v
+		case interface{ NetConn() net.Conn }:
+			c = v.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.evicted.Load() {
+		return 0, errNoRoom
+	}
+	n, err := c.Conn.Read(p)
+	if n <= 0 || !c.inHead.Load() {
+		return n, err
+	}
+	if c.idle.CompareAndSwap(true, false) {
+		c.since.Store(int64(c.gate.clock()))
+	}
+	if c.listener.countHeads {
+		c.headBytes.Add(int64(n))
+		if !c.TakeForRequest(int64(n) * headFactor) {
+			return 0, errNoRoom
+		}
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.gate.unregister(c)
+	return c.Conn.Close()
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, fault.New(fault.Internal, "the connection is not a socket")
+	}
+	return sc.SyscallConn()
+}
+
+// SetReadDeadline implements net.Conn. The deadline of a connection that gave way stays in the past.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.evicted.Load() {
+		return c.Conn.SetReadDeadline(past)
+	}
+	return err
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	err := c.Conn.SetDeadline(t)
+	if c.evicted.Load() {
+		return c.Conn.SetReadDeadline(past)
+	}
+	return err
+}
+
+// Take takes room for n bytes. It returns false if there is none, or if the connection itself gave
+// way; the bytes must then not be allocated.
+func (c *Conn) Take(n int64) bool {
+	if c == nil {
+		return true
+	}
+	c.held.Add(n)
+	if c.gate.heldBytes.Add(n) <= c.gate.maxBytes && !c.evicted.Load() {
+		return true
+	}
+	if c.gate.makeRoom(c) {
+		return true
+	}
+	c.Return(n)
+	return false
+}
+
+// Return returns room for n bytes. What a connection that gave way holds is no longer counted.
+func (c *Conn) Return(n int64) {
+	if c == nil || c.evicted.Load() {
+		return
+	}
+	c.held.Add(-n)
+	c.gate.heldBytes.Add(-n)
+}
+
+// TakeForRequest is Take for room that EndRequest returns.
+func (c *Conn) TakeForRequest(n int64) bool {
+	if c == nil {
+		return true
+	}
+	if !c.Take(n) {
+		return false
+	}
+	c.forRequest.Add(n)
+	return true
+}
+
+// beginRequest records that the head of a request was read.
+func (c *Conn) beginRequest() {
+	c.inHead.Store(false)
+	n := min(c.forRequest.Load(), c.headBytes.Swap(0)*(headFactor-parsedHeadFactor))
+	c.forRequest.Add(-n)
+	c.Return(n)
+}
+
+// Protect keeps the connection from giving way: its request was read and is being executed.
+func (c *Conn) Protect() {
+	if c != nil {
+		c.since.Store(int64(protected))
+	}
+}
+
+// BeginResponse records that a response is written. A client that does not read it gives way.
+func (c *Conn) BeginResponse() {
+	if c != nil {
+		c.responding.Store(true)
+		c.since.Store(int64(c.gate.clock()))
+	}
+}
+
+// EndRequest records that a request was answered, and returns the room that was taken for it.
+func (c *Conn) EndRequest() {
+	if c == nil {
+		return
+	}
+	c.Return(c.forRequest.Swap(0))
+	c.headBytes.Store(0)
+	c.served.Store(true)
+	c.responding.Store(false)
+	c.since.Store(int64(c.gate.clock()))
+	c.idle.Store(true)
+	c.inHead.Store(true)
+}
+
+// GaveWay reports whether the connection had to give way.
+func (c *Conn) GaveWay() bool { return c != nil && c.evicted.Load() }
+
+// giveWay ends what the connection does. Its server sees that reading fails, answers if it can, and
+// closes the connection; a response that is not read is broken off. The caller holds the gate's lock.
+func (c *Conn) giveWay() {
+	c.evicted.Store(true)
+	c.gate.heldBytes.Add(-c.held.Swap(0))
+	if c.responding.Load() {
+		_ = c.Conn.SetDeadline(past)
+		return
+	}
+	_ = c.Conn.SetReadDeadline(past)
+}
