node: all addresses accept connections within one bound of the process

What callers saw: while a crowd held silent connections to one port, no port of the process could accept another one; heads in short lines, each below the limit, took the memory of a machine.

Cause: net.Listen took connections until the descriptors of the process were used up, and a head was bounded for its connection only.

Change: the four addresses of a node accept through the process's gate. Each has a share of the descriptors (callers 3/8, requests and control messages of nodes 1/4 each, operators 1/32), each connection and each byte of a head takes room, and what is read ahead of a caller does. The connection that has taken most for longest gives way. memory_bytes and max_descriptors are settings of the process (256 MiB, the system's limit).

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -13,6 +13,8 @@
 	"net"
 	"sync"
 	"syscall"
+
+	"github.com/umberthread/umberthread/internal/inbound"
 )
 
 // maxReadAheadBytes bounds the data buffered for a connection. Beyond it a disconnect is
@@ -98,6 +100,9 @@
 	return c
 }
 
+// NetConn returns the connection that c wraps.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.readMu.Lock()
@@ -105,6 +110,7 @@
 	if len(c.readAheadBuf) > 0 {
 		n := copy(p, c.readAheadBuf)
 		c.readAheadBuf = c.readAheadBuf[n:]
+		inbound.Of(c.Conn).Return(int64(n))
 		return n, nil
 	}
 	if c.readErr != nil {
@@ -180,14 +186,21 @@
 	if err != nil {
 		return
 	}
-	buf := make([]byte, min(readChunkBytes, maxReadAheadBytes-len(c.readAheadBuf)))
+	size := min(readChunkBytes, maxReadAheadBytes-len(c.readAheadBuf))
+	room := inbound.Of(c.Conn)
+	if !room.Take(int64(size)) {
+		return
+	}
+	buf := make([]byte, size)
 	var n int
 	var failed error
 	if err := raw.Control(func(fd uintptr) {
 		n, _, failed = syscall.Recvfrom(int(fd), buf, syscall.MSG_DONTWAIT)
 	}); err != nil {
+		room.Return(int64(size))
 		return
 	}
+	room.Return(int64(size - max(0, n)))
 	switch {
 	case n > 0:
 		c.readAheadBuf = append(c.readAheadBuf, buf[:n]...)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/callers"
 	"github.com/umberthread/umberthread/internal/control"
+	"github.com/umberthread/umberthread/internal/inbound"
 	"github.com/umberthread/umberthread/internal/latency"
 	"github.com/umberthread/umberthread/internal/pathlevel"
 	"github.com/umberthread/umberthread/internal/sock"
@@ -120,6 +121,8 @@
 	// startupWaiters counts the requests that wait while the node finds the instances.
 	startupWaiters atomic.Int64
 
+	// inbound bounds what all servers of the process hold for those that connect.
+	inbound  *inbound.Gate
 	httpSrv  *http.Server
 	adminSrv *http.Server
 	wireSrv  *wire.Server
@@ -141,9 +144,6 @@
 	// connIdleTimeout is when idle connections of callers and peers are closed.
 	connIdleTimeout     = 2 * time.Minute
 	maintenanceInterval = 250 * time.Millisecond
-
-	headerTimeout  = 5 * time.Second
-	maxHeaderBytes = 32 << 10
 )
 
 // New returns a node that has not been started. It opens the data folder, if
@@ -158,6 +158,7 @@
 		burn: burn.NewTracker(), retiredIncarnations: incarnationRecords{}, leavingIncarnations: incarnationRecords{}, stop: make(chan struct{}),
 		dial: control.DialTCP, allowDatagram: func(string) bool { return true },
 	}
+	n.inbound = inbound.NewGate(inbound.Options{MemoryBytes: o.MemoryBytes, Descriptors: o.MaxDescriptors})
 	n.quarantine = newQuarantineManager(n)
 	n.bootstrapAddrs.Store(&o.Bootstrap)
 	n.gate = newAdmissionGate(n.clock)
@@ -183,6 +184,9 @@
 // ID returns the process's identity, new at each start.
 func (n *Node) ID() string { return n.id }
 
+// Inbound returns the bounds that all servers of the process share.
+func (n *Node) Inbound() *inbound.Gate { return n.inbound }
+
 // SetBootstrap replaces the configured control addresses of other nodes.
 func (n *Node) SetBootstrap(addrs []string) { n.bootstrapAddrs.Store(&addrs) }
 
@@ -209,8 +213,12 @@
 		return err
 	}
 	n.wireSrv = wire.NewServer(n.servePeerRequest, wire.ServerOptions{Heartbeat: n.opt.Heartbeat.Duration, Sweep: n.opt.Sweep.Duration, IdleTimeout: connIdleTimeout})
-	n.adminSrv = &http.Server{Handler: n.adminRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	n.httpSrv = &http.Server{Handler: n.callerRoutes(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: connIdleTimeout, ConnContext: callers.ConnContext}
+	n.adminSrv = inbound.HTTPServer(n.adminRoutes(), inbound.Operators)
+	n.httpSrv = inbound.HTTPServer(n.callerRoutes(), inbound.Callers)
+	withInbound := n.httpSrv.ConnContext
+	n.httpSrv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return callers.ConnContext(withInbound(ctx, c), c)
+	}
 	n.control = newControlServer(n)
 	n.gossip.udp = lns.udp
 	n.startTask("gossip", n.gossip.run)
@@ -249,12 +257,16 @@
 	for _, l := range []struct {
 		part, addr string
 		to         *net.Listener
-	}{{"http", n.opt.HTTP, &lns.http}, {"data", n.opt.Data, &lns.data}, {"control", n.opt.Control, &lns.control}, {"admin", n.opt.Admin, &lns.admin}} {
+		limits     inbound.Limits
+	}{
+		{"http", n.opt.HTTP, &lns.http, inbound.Callers}, {"data", n.opt.Data, &lns.data, inbound.PeerRequests},
+		{"control", n.opt.Control, &lns.control, inbound.PeerControl}, {"admin", n.opt.Admin, &lns.admin, inbound.Operators},
+	} {
 		ln, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			return nil, fault.Wrap(fault.InvalidSetting, err, "cannot listen on "+l.addr)
 		}
-		*l.to = n.retryAccepts(l.part, ln)
+		*l.to = n.inbound.Listen(n.retryAccepts(l.part, ln), l.limits)
 	}
 	ua, err := net.ResolveUDPAddr("udp", n.opt.Control)
 	if err != nil {
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -87,6 +87,12 @@
 	// replicas has confirmed since. Without that it refuses requests that need a key. 0 means
 	// that it goes on with the settings that it has.
 	KeyTrust Duration `toml:"key_trust"`
+	// MemoryBytes is the memory that the process may use. A quarter of it is for what callers,
+	// nodes and operators send.
+	MemoryBytes int64 `toml:"memory_bytes"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 means the system's
+	// limit. Each address accepts connections for a fraction of them.
+	MaxDescriptors int `toml:"max_descriptors"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `toml:"log_level"`
 
@@ -132,6 +138,7 @@
 		Sweep:        Duration{20 * time.Millisecond},
 		Heartbeat:    Duration{200 * time.Millisecond},
 		QuotaWindow:  Duration{5 * time.Second},
+		MemoryBytes:  256 << 20,
 		LogLevel:     "info",
 	}
 }
@@ -199,9 +206,15 @@
 	if o.FailureDomains < 0 || !(o.QuotaOvershoot >= 0 && o.QuotaOvershoot <= 1) || !(o.QuotaSlack >= 0) || o.QuotaWindow.Duration < 0 || o.KeyTrust.Duration < 0 {
 		return fault.New(fault.InvalidSetting, "failure_domains, quota_window, quota_slack and key_trust must be at least 0, and quota_overshoot a fraction from 0 to 1")
 	}
+	if o.MemoryBytes < minMemoryBytes || o.MaxDescriptors < 0 {
+		return fault.Newf(fault.InvalidSetting, "memory_bytes = %d, max_descriptors = %d; allowed are at least %d, and at least 0", o.MemoryBytes, o.MaxDescriptors, minMemoryBytes)
+	}
 	return o.checkDurations()
 }
 
+// minMemoryBytes is the least memory with which a process can work.
+const minMemoryBytes = 32 << 20
+
 // checkDurations validates the settings that are durations.
 func (o *Options) checkDurations() error {
 	const lo, hi = 100 * time.Millisecond, time.Hour
