node: bodies and fields of callers' requests take room before memory

What callers saw: the process beside them ended, out of memory, while others sent many bodies that stopped just short of their end.

Cause: a body was allocated up to the limit for retries (1 MiB) for each connection, whatever the others held; one of unknown length also left the buffers that it had outgrown.

Change: a body of known length takes room for all of it, another one as it grows. Where none is left the unfinished request that has held most for longest gets 503 with Retry-After and Connection: close, which is true, as nothing was sent to a server. A request that was read does not give way; one whose response is not read does. The fields of a head are counted until the request is answered. What follows an answered request of an unread body is read for a second at most.

--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/umberthread/umberthread/budget"
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/inbound"
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/wire"
 	"github.com/umberthread/umberthread/quarantine"
@@ -63,6 +64,8 @@
 	bodyLen int64
 	// bodyPrefix is the beginning of a streamed body.
 	bodyPrefix []byte
+	// room accounts for the memory of a request that a caller sent, nil for others.
+	room *inbound.Conn
 	// caller is the identity of the caller if the platform's adapter provides it. fingerprints
 	// identify similar requests for quarantine.
 	caller       string
@@ -195,6 +198,11 @@
 // serviceOfTarget returns the fleet/service part of a target.
 func serviceOfTarget(target string) string { return target[:strings.LastIndexByte(target, '/')] }
 
+// noRoom returns the error for a call whose connection gave way, or for which there is no memory.
+func (c *call) noRoom() *fault.Error {
+	return c.refusal(fault.Overload, "the memory for requests is used up", 0)
+}
+
 // refusal returns an error for a call that was certainly not executed, with the time after
 // which to retry where a retry can help.
 func (c *call) refusal(code fault.Code, detail string, l rank.Level) *fault.Error {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -14,6 +14,7 @@
 	"github.com/umberthread/umberthread/budget"
 	"github.com/umberthread/umberthread/fault"
 	"github.com/umberthread/umberthread/internal/callers"
+	"github.com/umberthread/umberthread/internal/inbound"
 	"github.com/umberthread/umberthread/internal/scope"
 	"github.com/umberthread/umberthread/internal/wire"
 )
@@ -24,6 +25,7 @@
 // serveCallerRequest handles an HTTP request of a caller, or a nested call of the local
 // backend server. It runs on the goroutine that net/http started for the connection.
 func (n *Node) serveCallerRequest(w http.ResponseWriter, r *http.Request) {
+	defer limitUnreadBody(w, r)
 	c, ferr := n.parseRequest(r)
 	if ferr != nil {
 		n.stats.countRefusal(ferr.Code)
@@ -38,10 +40,18 @@
 	defer c.scope.Close()
 	n.stats.inflight.Add(1)
 	defer n.stats.inflight.Add(-1)
+	c.room = inbound.FromContext(r.Context())
+	if !c.room.TakeForRequest(int64(len(r.Header)) * fieldBytes) {
+		n.refuse(w, c, c.noRoom())
+		return
+	}
 	if ferr := n.readBody(c, w, r); ferr != nil {
 		n.refuse(w, c, ferr)
 		return
 	}
+	if c.replayable() {
+		c.room.Protect()
+	}
 	c.computeFingerprints()
 	if c.policy.KeyRequired {
 		n.serveKeyed(w, r, c)
@@ -236,6 +246,7 @@
 	if resp.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(resp.length, 10))
 	}
+	c.room.BeginResponse()
 	_ = http.NewResponseController(w).SetWriteDeadline(laterOf(c.scope.Deadline(), time.Now()).Add(responseWriteGrace))
 	w.WriteHeader(resp.status)
 	if err := copyBody(w, resp.body); err != nil {
--- a/internal/node/request_body.go
+++ b/internal/node/request_body.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/umberthread/umberthread/fault"
 )
@@ -33,13 +34,28 @@
 	if c.bodyLen > int64(c.policy.ReplayMax) {
 		return n.streamBody(c, body)
 	}
-	c.body = make([]byte, c.bodyLen)
-	if _, err := io.ReadFull(body, c.body); err != nil {
+	var err error
+	if c.body, _, err = c.room.ReadAll(body, c.bodyLen, c.bodyLen); err != nil {
 		return n.bodyReadError(c, err)
 	}
 	return nil
 }
 
+// fieldBytes is the memory of one field of a request's head as it is held, forwarded and sent to a
+// backend server, without its text.
+const fieldBytes = 600
+
+// unreadBodyTimeout bounds the time in which net/http reads on, after the response, what a caller
+// sends of a body that was not read to its end.
+const unreadBodyTimeout = time.Second
+
+// limitUnreadBody bounds the time for the rest of a body once the request was answered.
+func limitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 // bodyPrefixBytes is the length of the prefix of a streamed body that is part of its content
 // fingerprint.
 const bodyPrefixBytes = 1 << 10
@@ -59,16 +75,15 @@
 // readBodyOfUnknownLength buffers a body without a Content-Length if it is small, and else
 // streams it.
 func (n *Node) readBodyOfUnknownLength(c *call, body io.Reader) *fault.Error {
-	var buf bytes.Buffer
-	_, err := io.CopyN(&buf, body, int64(c.policy.ReplayMax)+1)
+	start, more, err := c.room.ReadAll(body, c.bodyLen, int64(c.policy.ReplayMax))
 	switch {
-	case err == nil:
-		c.bodyPrefix = bytes.Clone(buf.Bytes()[:min(buf.Len(), bodyPrefixBytes)])
-		c.stream = io.MultiReader(&buf, body)
-	case errors.Is(err, io.EOF):
-		c.body, c.bodyLen = buf.Bytes(), int64(buf.Len())
-	default:
+	case err != nil:
 		return n.bodyReadError(c, err)
+	case more:
+		c.bodyPrefix = bytes.Clone(start[:min(len(start), bodyPrefixBytes)])
+		c.stream = io.MultiReader(bytes.NewReader(start), body)
+	default:
+		c.body, c.bodyLen = start, int64(len(start))
 	}
 	return nil
 }
@@ -76,6 +91,8 @@
 // bodyReadError maps an error of reading a request body to a fault.
 func (n *Node) bodyReadError(c *call, err error) *fault.Error {
 	switch {
+	case c.room.GaveWay(), fault.CodeOf(err) == fault.Overload:
+		return c.noRoom()
 	case isBodyLimit(err):
 		return n.unlessOutdated(c.conf, fault.Wrap(fault.TooLarge, err, "the body is too large"))
 	case errors.Is(err, os.ErrDeadlineExceeded):
