wire: requests of other nodes take room before memory

What callers saw: whoever reached a node's port for requests of other nodes could name a body of 1 MiB, send it but for a byte, and so end the process.

Cause: the body was allocated by the length that the head named, for each connection; frames and decoded heads had a limit for each connection alone.

Change: body, frame buffer and decoded head take room of the process's bound. The refusal says that the request was not executed, so its entry can send it elsewhere. A request whose body was read does not give way.

--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -533,11 +533,10 @@
 	n.bindConfig(c)
 	c.policy = c.conf.tree.Policy(c.target)
 	if c.bodyLen >= 0 && c.bodyLen <= int64(c.policy.ReplayMax) {
-		c.body = make([]byte, c.bodyLen)
-		if _, err := io.ReadFull(x.Body, c.body); err != nil {
+		var err error
+		if c.body, err = x.ReadBody(); err != nil {
 			return nil, n.bodyReadError(c, err)
 		}
-		x.MarkBodyRead()
 	} else {
 		// The entry bounds the body by the limit by which it let the request in. A bound of this
 		// node, whose settings may differ, would look to the backend server like the body's end.
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -177,12 +177,17 @@
 		return false
 	}
 	if t == framePing {
+		c.room.EndRequest()
 		return c.write(appendFrame(nil, framePong, nil)) == nil
 	}
 	if t != frameRequest {
 		c.srv.malformed.Add(1)
 		return false
 	}
+	if !c.room.TakeForRequest(int64(len(payload)) * decodedHeadFactor) {
+		return false
+	}
+	defer c.room.EndRequest()
 	x := &Exchange{conn: c}
 	if err := decodeRequest(payload, &x.Request); err != nil {
 		c.srv.malformed.Add(1)
@@ -204,6 +209,9 @@
 	return x.replied && x.body.done && x.body.err == nil
 }
 
+// decodedHeadFactor is the memory of a decoded request head, for each byte of its encoding.
+const decodedHeadFactor = 20
+
 // replyGrace is how long after the request's deadline a reply may be written.
 const replyGrace = time.Second
 
@@ -273,8 +281,22 @@
 }
 
 // MarkBodyRead records that the handler has read the complete body. From then
-// on, the server detects a client that closes the connection.
-func (x *Exchange) MarkBodyRead() { x.bodyRead.Store(true) }
+// on, the server detects a client that closes the connection, and the connection does not give way
+// to others.
+func (x *Exchange) MarkBodyRead() {
+	x.conn.room.Protect()
+	x.bodyRead.Store(true)
+}
+
+// ReadBody reads the complete body into memory. It returns an error with the code fault.Overload if
+// there is no room for it.
+func (x *Exchange) ReadBody() ([]byte, error) {
+	body, _, err := x.conn.room.ReadAll(x.Body, x.Request.BodyLen, x.Request.BodyLen)
+	if err == nil {
+		x.MarkBodyRead()
+	}
+	return body, err
+}
 
 // ReportDoubt tells the client, if it knows the doubt frame, that the backend server may never
 // respond.
