control: messages of other nodes take room before they are decoded

What callers saw: whoever reached a control port ended the process, with one length prefix of nearly 1 GB and bytes without end on each connection.

Cause: net/rpc's own codec leaves the size of a message to gob, which allocates up to 10 MB by the length that it is told, and the rest as it arrives; each connection could have any number of calls handled at once, and a client that read no responses kept theirs.

Change: a codec of the project's own for net/rpc. The messages on the wire are the same.

Not bounded: what gob makes of a whole message of many empty records.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -56,7 +56,7 @@
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
 		go func() {
-			s.rpc.ServeConn(control.CountingConn{Conn: c, Counter: &s.counter})
+			s.rpc.ServeCodec(control.NewServerCodec(c, &s.counter))
 			s.mu.Lock()
 			delete(s.conns, c)
 			s.mu.Unlock()
