platform: operators, announcements, readiness and metrics have limits

What callers saw: a replica or a node ended after documents that were begun and not ended, or heads of 900 KiB, at addresses that had no limit but net/http's 1 MB for a head, or 32 MiB a connection for a document.

Cause: each server was set up by itself, with the limits that its author thought of; a document was read into memory before it was known whether there was any.

Change: all HTTP servers of a process are made by inbound.HTTPServer with one of three tables of limits (head 32 KiB, times for a head, a request and a response, connections). Documents and changes take room as they arrive; one of more than 32 MiB is refused by the length that it names; one is translated at a time, which takes several times its size.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"encoding/json"
 	"expvar"
 	"io"
@@ -16,6 +17,7 @@
 	"github.com/umberthread/umberthread/burn"
 	"github.com/umberthread/umberthread/confstore"
 	"github.com/umberthread/umberthread/fault"
+	"github.com/umberthread/umberthread/internal/inbound"
 	"github.com/umberthread/umberthread/settings"
 )
 
@@ -415,10 +417,26 @@
 	Current uint64 `json:"current"`
 }
 
+// changeReadError returns the error for a change that could not be read, or is too large if err is nil.
+func changeReadError(err error) *fault.Error {
+	switch {
+	case err == nil:
+		return fault.Newf(fault.TooLarge, "a change is limited to %d bytes", maxChangeBytes)
+	case fault.CodeOf(err) == fault.Overload:
+		return fault.Wrap(fault.Overload, err, "cannot read the change")
+	}
+	return fault.Wrap(fault.BadRequest, err, "malformed change")
+}
+
 // serveChange submits a proposed change of the settings and returns its outcome.
 func (n *Node) serveChange(w http.ResponseWriter, r *http.Request) {
+	body, more, err := inbound.FromContext(r.Context()).ReadAll(r.Body, r.ContentLength, maxChangeBytes)
+	if err != nil || more || r.ContentLength > maxChangeBytes {
+		writeProblem(w, "", changeReadError(err))
+		return
+	}
 	var req ChangeRequest
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&req); err != nil {
 		writeProblem(w, "", fault.Wrap(fault.BadRequest, err, "malformed change"))
