--- a/internal/node/settings_document.go
+++ b/internal/node/settings_document.go
@@ -84,13 +84,13 @@
 	}
 }
 
-// CurrentSettings returns the current entries, confirmed by a quorum.
-func (n *Node) CurrentSettings(wait time.Duration) (settings.Entries, *fault.Error) {
+// CurrentSettings returns the current version and entries, confirmed by a quorum.
+func (n *Node) CurrentSettings(wait time.Duration) (uint64, settings.Entries, *fault.Error) {
 	r, ferr := n.readCurrentConfig(wait)
 	if ferr != nil {
-		return nil, ferr
+		return 0, nil, ferr
 	}
-	return r.Entries, nil
+	return r.Version, r.Entries, nil
 }
 
 // formRetryInterval is the time between two attempts to form the replica groups.
