backend: a status that HTTP does not have is no answer

What callers saw: with a status of 000, 001, 099, 101 or +20 of a server in trouble they waited until their deadline and got 504; 600 and 999 were delivered to them as answers, with the server's seal.

Cause: net/http's reader takes any three characters that are a number that is not negative. All below 200 were taken for interim responses, after which the answer is awaited, and all others for the answer.

Change: a status outside 100 to 599, and 101, as no request asks for another protocol, ends the exchange as a violation of the protocol. The caller gets 502 at once, which promises nothing, or the answer of another attempt where the request may be sent again. RFC 9110, 15, calls such a status invalid; what a client's library makes of it is not known.

Evidence: TestInvalidStatusIsNoAnswer failed for 000, 001, 099, 101 and +20 (deadline), 600 and 999 (delivered), and held for 20, -20 and 2000; it holds for all now.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -271,6 +271,8 @@
 			return nil, progress.Ended, fault.Wrap(fault.Protocol, err, "reading from the backend server").WithUnknownExecution()
 		case err != nil:
 			return nil, progress.Ended, p.c.wrapError(p.s, err, "reading from")
+		case !isValidStatus(resp.StatusCode):
+			return nil, progress.Ended, fault.Newf(fault.Protocol, "the backend server sent the status %03d", resp.StatusCode).WithUnknownExecution()
 		case resp.StatusCode < http.StatusOK:
 			// Interim (1xx) responses are skipped. They count towards the limit of the head.
 			continue
@@ -291,6 +293,15 @@
 	}
 }
 
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
+// isValidStatus reports whether HTTP has a status, but for 101: no request asks for another
+// protocol.
+func isValidStatus(status int) bool {
+	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
 // send writes a request to a connection. If its body cannot be read, the server gets an incomplete
 // message, and the error is BadRequest with the cause: the server has not failed.
 func (c *Client) send(s *scope.Scope, cn *conn, req *http.Request) error {
