node: a cut answer resets the connection of a caller that speaks HTTP/1.0

What callers saw: one that speaks HTTP/1.0 got a success with a part of its body as a whole one when the server broke off an answer without a length, over one node and over two.

Cause: the node breaks off its own answer by closing the connection. In HTTP/1.1 the missing last chunk tells that; in HTTP/1.0 the close is the end of the body.

Change: such a connection is reset.

Remains: a node that is killed while it passes on such an answer; the system closes its connections then.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -110,6 +110,17 @@
 	return c.Conn.Close()
 }
 
+// ResetOnClose makes Close reset the connection, so that the client does not take its end for the end
+// of a body.
+func (c *Conn) ResetOnClose() {
+	if c == nil {
+		return
+	}
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -66,6 +66,9 @@
 	bodyPrefix []byte
 	// room accounts for the memory of a request that a caller sent, nil for others.
 	room *inbound.Conn
+	// closeEndsBody is set if the caller speaks HTTP/1.0, where the end of the connection is the end of
+	// a body without a length.
+	closeEndsBody bool
 	// caller is the identity of the caller if the platform's adapter provides it. fingerprints
 	// identify similar requests for quarantine.
 	caller       string
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -40,7 +40,7 @@
 	defer c.scope.Close()
 	n.stats.inflight.Add(1)
 	defer n.stats.inflight.Add(-1)
-	c.room = inbound.FromContext(r.Context())
+	c.room, c.closeEndsBody = inbound.FromContext(r.Context()), !r.ProtoAtLeast(1, 1)
 	if !c.room.TakeForRequest(int64(len(r.Header)) * fieldBytes) {
 		n.refuse(w, c, c.noRoom())
 		return
@@ -252,6 +252,9 @@
 	if err := copyBody(w, resp.body); err != nil {
 		n.stats.brokenResponses.Add(1)
 		n.recordOutcome(c, fault.PeerLost, fault.ExecutionUnknown)
+		if c.closeEndsBody {
+			c.room.ResetOnClose()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	n.quarantine.recordResponse(c)
