--- a/intake/intake.go
+++ b/intake/intake.go
@@ -1,9 +1,9 @@
-// Package intake decides which senders give way when a process has no room left for what is sent to
-// it. It does no I/O.
+// Package intake decides which connections a process evicts when it has no memory or descriptors left
+// for those that send to it. It does no I/O.
 //
-// A crowd of senders that begin requests and do not end them takes all the room that there is.
-// Refusing whoever comes next would refuse proper callers. Instead the senders that have taken most
-// room for longest give way: a proper request is read within moments, so it has taken little.
+// A crowd of senders that begin requests and do not end them takes all that there is.
+// Refusing whoever comes next would refuse proper callers. Instead the connections that have held
+// most for longest are evicted: a proper request is read within moments, so it costs little.
 package intake
 
 import (
@@ -14,7 +14,7 @@
 
 // Sender is a connection whose request has not been read to its end, or that has none.
 type Sender struct {
-	// Held is the room that it takes: bytes, or 1 where connections are counted.
+	// Held is what it holds: bytes, or 1 where connections are counted.
 	Held int64
 	// Since is when its request began or, if it has none, when it last had one.
 	Since time.Duration
@@ -22,11 +22,11 @@
 	Served bool
 }
 
-// servedWeight divides the cost of a sender that has ended a request before: a pooled connection is
-// useful again, and the next crowd need not be paid for by those who keep one.
+// servedWeight divides the cost of a sender whose earlier request was served: its client keeps the
+// connection in a pool and would have to open a new one.
 const servedWeight = 4
 
-// cost returns the room that a sender has taken, times how long, in units and nanoseconds.
+// cost returns what a sender holds times how long, in units and nanoseconds.
 func (s Sender) cost(now time.Duration) float64 {
 	c := float64(s.Held) * float64(max(0, now-s.Since)+1)
 	if s.Served {
@@ -35,7 +35,7 @@
 	return c
 }
 
-// Victims returns the indexes of the senders that give way, the costliest first, so that at least
+// Victims returns the indexes of the senders to evict, the costliest first, so that at least
 // need is free. If all senders together do not hold that much, it returns all that hold anything.
 func Victims(senders []Sender, need int64, now time.Duration) []int {
 	order := make([]int, 0, len(senders))
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -9,11 +9,11 @@
 )
 
 // A crowd of bodies that stop short of their end is replayed beside proper uploads of a tenth of a
-// second: room for both is made by the crowd alone.
-func TestCrowdGivesWayToProperUploads(t *testing.T) {
+// second: only connections of the crowd are evicted.
+func TestCrowdIsEvictedBesideProperUploads(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const (
-		room, body  = 32 << 20, 1 << 20
+		limit, body = 32 << 20, 1 << 20
 		upload      = 360 << 10
 		crowdGap    = 2 * time.Millisecond
 		uploadEvery = 25
@@ -47,8 +47,8 @@
 			senders[i] = c.Sender
 		}
 		victims := map[int]bool{}
-		for _, v := range Victims(senders, used-room, now) {
-			g.Expect(open[v].proper).To(gomega.BeFalse(), "a proper upload gives way")
+		for _, v := range Victims(senders, used-limit, now) {
+			g.Expect(open[v].proper).To(gomega.BeFalse(), "a proper upload is evicted")
 			victims[v] = true
 		}
 		remaining := open[:0]
@@ -60,13 +60,13 @@
 			remaining = append(remaining, c)
 		}
 		open = remaining
-		g.Expect(used).To(gomega.BeNumerically("<=", room))
+		g.Expect(used).To(gomega.BeNumerically("<=", limit))
 	}
 	g.Expect(uploads).To(gomega.BeNumerically(">", 190))
 }
 
-// Of connections that send nothing the oldest give way, before those that have served.
-func TestSilentConnectionsGiveWayBeforeThoseThatServed(t *testing.T) {
+// Of connections that send nothing the oldest are evicted, before those that were served.
+func TestSilentConnectionsAreEvictedBeforeServedOnes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	senders := []Sender{{1, 3 * time.Second, true}, {1, 4 * time.Second, false}, {1, 9 * time.Second, false}, {0, 0, false}}
 	g.Expect(Victims(senders, 1, 10*time.Second)).To(gomega.Equal([]int{1}))
@@ -74,7 +74,7 @@
 	g.Expect(Victims(senders, 0, 10*time.Second)).To(gomega.BeEmpty())
 }
 
-// Whatever the senders hold, enough is freed if there is enough, and no more senders give way than
+// Whatever the senders hold, enough is freed if there is enough, and no more senders are evicted than
 // that takes.
 func TestVictimsFreeWhatIsNeeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -89,7 +89,7 @@
 		victims := Victims(senders, need, 5*time.Second)
 		for _, v := range victims {
 			if freed >= need {
-				t.Fatalf("%d gives way though %d of %d are free", v, freed, need)
+				t.Fatalf("%d is evicted though %d of %d are free", v, freed, need)
 			}
 			freed += senders[v].Held
 		}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -110,7 +110,7 @@
 	if len(c.readAheadBuf) > 0 {
 		n := copy(p, c.readAheadBuf)
 		c.readAheadBuf = c.readAheadBuf[n:]
-		inbound.Of(c.Conn).Return(int64(n))
+		inbound.Of(c.Conn).Release(int64(n))
 		return n, nil
 	}
 	if c.readErr != nil {
@@ -187,8 +187,8 @@
 		return
 	}
 	size := min(readChunkBytes, maxReadAheadBytes-len(c.readAheadBuf))
-	room := inbound.Of(c.Conn)
-	if !room.Take(int64(size)) {
+	account := inbound.Of(c.Conn)
+	if !account.Reserve(int64(size)) {
 		return
 	}
 	buf := make([]byte, size)
@@ -197,10 +197,10 @@
 	if err := raw.Control(func(fd uintptr) {
 		n, _, failed = syscall.Recvfrom(int(fd), buf, syscall.MSG_DONTWAIT)
 	}); err != nil {
-		room.Return(int64(size))
+		account.Release(int64(size))
 		return
 	}
-	room.Return(int64(size - max(0, n)))
+	account.Release(int64(size - max(0, n)))
 	switch {
 	case n > 0:
 		c.readAheadBuf = append(c.readAheadBuf, buf[:n]...)
--- a/internal/control/server_codec.go
+++ b/internal/control/server_codec.go
@@ -31,10 +31,10 @@
 )
 
 // messageReader passes on a stream of gob messages and reads the length before each, so that none is
-// decoded for which there is no room. It implements io.Reader.
+// decoded for which there is no account. It implements io.Reader.
 type messageReader struct {
-	r    io.Reader
-	room *inbound.Conn
+	r       io.Reader
+	account *inbound.Conn
 
 	// left is how much of the message follows, and lengthLeft how much of the length before it, which
 	// is length so far.
@@ -42,8 +42,8 @@
 	lengthLeft int
 	length     uint64
 
-	// taken is the room that was taken since the last call of take.
-	taken int64
+	// reserved is the memory that was reserved since the last call of takeReserved.
+	reserved int64
 }
 
 // Read implements io.Reader.
@@ -100,40 +100,40 @@
 	return false, nil
 }
 
-// beginMessage takes room for the message whose length was read.
+// beginMessage reserves memory for the message whose length was read.
 func (m *messageReader) beginMessage() error {
 	if m.length == 0 || m.length > maxMessageBytes {
 		return fault.Newf(fault.Protocol, "a message of %d bytes; allowed are 1 to %d", m.length, maxMessageBytes)
 	}
 	m.left = m.length
-	if !m.room.Take(int64(m.length) * decodedFactor) {
+	if !m.account.Reserve(int64(m.length) * decodedFactor) {
 		return fault.New(fault.Overload, "the memory for messages is used up")
 	}
-	m.taken += int64(m.length) * decodedFactor
+	m.reserved += int64(m.length) * decodedFactor
 	return nil
 }
 
-// take returns the room that was taken for the messages read since the last call.
-func (m *messageReader) take() int64 {
-	n := m.taken
-	m.taken = 0
+// takeReserved returns the memory that was reserved for the messages read since the last call.
+func (m *messageReader) takeReserved() int64 {
+	n := m.reserved
+	m.reserved = 0
 	return n
 }
 
 // serverCodec is the gob codec of net/rpc with bounds on messages and calls. A connection does not
-// give way while one of its calls is handled.
+// evicted while one of its calls is handled.
 type serverCodec struct {
-	conn   net.Conn
-	room   *inbound.Conn
-	reader *messageReader
-	dec    *gob.Decoder
-	enc    *gob.Encoder
-	out    *bufio.Writer
+	conn    net.Conn
+	account *inbound.Conn
+	reader  *messageReader
+	dec     *gob.Decoder
+	enc     *gob.Encoder
+	out     *bufio.Writer
 
 	mu sync.Mutex
 	// answered is signalled when a call has ended.
 	answered sync.Cond
-	// pending holds the room taken for each call that is handled, by its sequence number.
+	// pending holds the memory reserved for each call that is handled, by its sequence number.
 	pending map[uint64]int64
 	// reading is the sequence number of the call that is being read.
 	reading uint64
@@ -143,8 +143,8 @@
 // NewServerCodec returns a codec for an accepted connection, whose traffic is counted in counter.
 func NewServerCodec(c net.Conn, counter *ByteCounter) rpc.ServerCodec {
 	counted := CountingConn{c, counter}
-	s := &serverCodec{conn: c, room: inbound.Of(c), out: bufio.NewWriter(counted), pending: map[uint64]int64{}}
-	s.reader = &messageReader{r: counted, room: s.room}
+	s := &serverCodec{conn: c, account: inbound.Of(c), out: bufio.NewWriter(counted), pending: map[uint64]int64{}}
+	s.reader = &messageReader{r: counted, account: s.account}
 	s.dec, s.enc = gob.NewDecoder(s.reader), gob.NewEncoder(s.out)
 	s.answered.L = &s.mu
 	return s
@@ -169,13 +169,13 @@
 	if err := s.dec.Decode(body); err != nil {
 		return err
 	}
-	if !s.room.Take(callBytes) {
+	if !s.account.Reserve(callBytes) {
 		return fault.New(fault.Overload, "the memory for messages is used up")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pending[s.reading] += s.reader.take() + callBytes
-	s.room.Protect()
+	s.pending[s.reading] += s.reader.takeReserved() + callBytes
+	s.account.Protect()
 	return nil
 }
 
@@ -194,14 +194,14 @@
 	return s.out.Flush()
 }
 
-// endCall returns the room of a call.
+// endCall releases the memory of a call.
 func (s *serverCodec) endCall(seq uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.room.Return(s.pending[seq])
+	s.account.Release(s.pending[seq])
 	delete(s.pending, seq)
 	if len(s.pending) == 0 {
-		s.room.EndRequest()
+		s.account.EndRequest()
 	}
 	s.answered.Signal()
 }
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -5,20 +5,20 @@
 	"io"
 )
 
-// firstPieceBytes is the room that is taken first for a body of unknown length.
+// firstPieceBytes is the memory that is reserved first for a body of unknown length.
 const firstPieceBytes = 4 << 10
 
-// ReadAll reads r to its end into memory for which it takes room, up to max bytes. length is the
+// ReadAll reads r to its end into memory that it reserves, up to max bytes. length is the
 // length in bytes if it is known, else negative. If r has more than max bytes, more is set and body
 // has max of them and at least one more. It returns an error with the code fault.Overload if there
-// is no room.
+// is no memory.
 func (c *Conn) ReadAll(r io.Reader, length, max int64) (body []byte, more bool, err error) {
 	if length >= 0 {
 		return c.readKnown(r, min(length, max))
 	}
 	size := int64(firstPieceBytes)
-	if !c.TakeForRequest(size) {
-		return nil, false, errNoRoom
+	if !c.ReserveForRequest(size) {
+		return nil, false, errNoMemory
 	}
 	body = make([]byte, 0, size)
 	for {
@@ -43,8 +43,8 @@
 
 // readKnown reads a body of n bytes.
 func (c *Conn) readKnown(r io.Reader, n int64) ([]byte, bool, error) {
-	if !c.TakeForRequest(n) {
-		return nil, false, errNoRoom
+	if !c.ReserveForRequest(n) {
+		return nil, false, errNoMemory
 	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(r, body); err != nil {
@@ -53,31 +53,31 @@
 	return body, false, nil
 }
 
-// grow returns the body in twice the room, or that for a body of more than max bytes if it is less.
+// grow returns the body in a buffer of twice the size, or of that for a body of more than max bytes if it is less.
 func (c *Conn) grow(body []byte, max int64) ([]byte, error) {
 	size := int64(cap(body))
 	larger := min(2*size, max+firstPieceBytes)
-	if !c.TakeForRequest(larger) {
-		return nil, errNoRoom
+	if !c.ReserveForRequest(larger) {
+		return nil, errNoMemory
 	}
 	grown := make([]byte, len(body), larger)
 	copy(grown, body)
-	c.returnForRequest(size)
+	c.releaseForRequest(size)
 	return grown, nil
 }
 
-// readError returns the error of reading a body: that there is no room, if the connection gave way.
+// readError returns the error of reading a body: that there is no memory, if the connection was evicted.
 func (c *Conn) readError(err error) error {
-	if c.GaveWay() {
-		return errNoRoom
+	if c.Evicted() {
+		return errNoMemory
 	}
 	return err
 }
 
-// returnForRequest returns room that TakeForRequest took.
-func (c *Conn) returnForRequest(n int64) {
+// releaseForRequest releases what ReserveForRequest reserved.
+func (c *Conn) releaseForRequest(n int64) {
 	if c != nil {
 		c.forRequest.Add(-n)
-		c.Return(n)
+		c.Release(n)
 	}
 }
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -20,17 +20,17 @@
 	parsedHeadFactor = 4
 )
 
-// protected in place of a time marks a connection that does not give way.
+// protected in place of a time marks a connection that is not evicted.
 const protected time.Duration = -1
 
 // past is a deadline that has expired.
 var past = time.Unix(1, 0)
 
-// errNoRoom is the error of reading from a connection that gave way.
-var errNoRoom = fault.New(fault.Overload, "the memory for requests is used up")
+// errNoMemory is the error of reading from an evicted connection.
+var errNoMemory = fault.New(fault.Overload, "the memory for requests is used up")
 
-// Conn is an accepted connection with the room that it takes. Between two requests and while it is
-// read it may give way; Protect excludes that. All methods but those of net.Conn do nothing on nil.
+// Conn is an accepted connection with the memory that is reserved for it. Between two requests and
+// while one is read it may be evicted; Protect excludes that. All methods but those of net.Conn do nothing on nil.
 type Conn struct {
 	net.Conn
 	gate     *Gate
@@ -86,7 +86,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.evicted.Load() {
-		return 0, errNoRoom
+		return 0, errNoMemory
 	}
 	n, err := c.Conn.Read(p)
 	if n <= 0 || !c.inHead.Load() {
@@ -97,8 +97,8 @@
 	}
 	if c.listener.countHeads {
 		c.headBytes.Add(int64(n))
-		if !c.TakeForRequest(int64(n) * headFactor) {
-			return 0, errNoRoom
+		if !c.ReserveForRequest(int64(n) * headFactor) {
+			return 0, errNoMemory
 		}
 	}
 	return n, err
@@ -130,7 +130,7 @@
 	return sc.SyscallConn()
 }
 
-// SetReadDeadline implements net.Conn. The deadline of a connection that gave way stays in the past.
+// SetReadDeadline implements net.Conn. The deadline of an evicted connection stays in the past.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	err := c.Conn.SetReadDeadline(t)
 	if c.evicted.Load() {
@@ -148,9 +148,9 @@
 	return err
 }
 
-// Take takes room for n bytes. It returns false if there is none, or if the connection itself gave
-// way; the bytes must then not be allocated.
-func (c *Conn) Take(n int64) bool {
+// Reserve reserves n bytes, for which other connections may be evicted. It returns false if there are
+// none, or if the connection itself was evicted; the bytes must then not be allocated.
+func (c *Conn) Reserve(n int64) bool {
 	if c == nil {
 		return true
 	}
@@ -158,15 +158,15 @@
 	if c.gate.heldBytes.Add(n) <= c.gate.maxBytes && !c.evicted.Load() {
 		return true
 	}
-	if c.gate.makeRoom(c) {
+	if c.gate.reclaim(c) {
 		return true
 	}
-	c.Return(n)
+	c.Release(n)
 	return false
 }
 
-// Return returns room for n bytes. What a connection that gave way holds is no longer counted.
-func (c *Conn) Return(n int64) {
+// Release releases n bytes. What an evicted connection holds is no longer counted.
+func (c *Conn) Release(n int64) {
 	if c == nil || c.evicted.Load() {
 		return
 	}
@@ -174,12 +174,12 @@
 	c.gate.heldBytes.Add(-n)
 }
 
-// TakeForRequest is Take for room that EndRequest returns.
-func (c *Conn) TakeForRequest(n int64) bool {
+// ReserveForRequest is Reserve for memory that EndRequest releases.
+func (c *Conn) ReserveForRequest(n int64) bool {
 	if c == nil {
 		return true
 	}
-	if !c.Take(n) {
+	if !c.Reserve(n) {
 		return false
 	}
 	c.forRequest.Add(n)
@@ -191,17 +191,17 @@
 	c.inHead.Store(false)
 	n := min(c.forRequest.Load(), c.headBytes.Swap(0)*(headFactor-parsedHeadFactor))
 	c.forRequest.Add(-n)
-	c.Return(n)
+	c.Release(n)
 }
 
-// Protect keeps the connection from giving way: its request was read and is being executed.
+// Protect keeps the connection from being evicted: its request was read and is being executed.
 func (c *Conn) Protect() {
 	if c != nil {
 		c.since.Store(int64(protected))
 	}
 }
 
-// BeginResponse records that a response is written. A client that does not read it gives way.
+// BeginResponse records that a response is written. A client that does not read it may be evicted.
 func (c *Conn) BeginResponse() {
 	if c != nil {
 		c.responding.Store(true)
@@ -209,12 +209,12 @@
 	}
 }
 
-// EndRequest records that a request was answered, and returns the room that was taken for it.
+// EndRequest records that a request was answered, and releases what was reserved for it.
 func (c *Conn) EndRequest() {
 	if c == nil {
 		return
 	}
-	c.Return(c.forRequest.Swap(0))
+	c.Release(c.forRequest.Swap(0))
 	c.headBytes.Store(0)
 	c.served.Store(true)
 	c.responding.Store(false)
@@ -223,12 +223,12 @@
 	c.inHead.Store(true)
 }
 
-// GaveWay reports whether the connection had to give way.
-func (c *Conn) GaveWay() bool { return c != nil && c.evicted.Load() }
+// Evicted reports whether the connection was evicted.
+func (c *Conn) Evicted() bool { return c != nil && c.evicted.Load() }
 
-// giveWay ends what the connection does. Its server sees that reading fails, answers if it can, and
+// evict ends what the connection does. Its server sees that reading fails, answers if it can, and
 // closes the connection; a response that is not read is broken off. The caller holds the gate's lock.
-func (c *Conn) giveWay() {
+func (c *Conn) evict() {
 	c.evicted.Store(true)
 	c.gate.heldBytes.Add(-c.held.Swap(0))
 	if c.responding.Load() {
--- a/internal/inbound/gate.go
+++ b/internal/inbound/gate.go
@@ -2,8 +2,8 @@
 // memory of connections, heads, bodies and messages together, the open connections of each address,
 // and the time that each part of a request may take.
 //
-// All servers of a process share one Gate. Room is taken before memory is allocated. Where none is
-// left, package intake chooses the connections that give way; the others are not disturbed.
+// All servers of a process share one Gate. Memory is reserved before it is allocated. Where none
+// is left, package intake chooses the connections that are evicted; the others are not disturbed.
 package inbound
 
 import (
@@ -72,8 +72,8 @@
 type Status struct {
 	// HeldBytes is the memory held for connections, and MaxBytes its bound.
 	HeldBytes, MaxBytes int64
-	// Evicted is the number of connections that gave way, and Refused that of connections for which
-	// none did.
+	// Evicted is the number of connections that were evicted, and Refused that of connections for which
+	// none could be.
 	Evicted, Refused int64
 }
 
@@ -86,7 +86,7 @@
 func (g *Gate) clock() time.Duration { return time.Since(g.start) }
 
 // register adds a connection. It returns false if the connection's listener has too many that
-// cannot give way.
+// cannot be evicted.
 func (g *Gate) register(c *Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -122,9 +122,9 @@
 	g.heldBytes.Add(-c.held.Swap(0))
 }
 
-// makeRoom lets connections give way until the bytes held are within the bound. It reports whether
-// they are, and c is not among those that gave way.
-func (g *Gate) makeRoom(c *Conn) bool {
+// reclaim evicts connections until the bytes held are within the bound. It reports whether they are,
+// and c is not among the evicted.
+func (g *Gate) reclaim(c *Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if excess := g.heldBytes.Load() - g.maxBytes; excess > 0 {
@@ -133,9 +133,9 @@
 	return !c.evicted.Load() && g.heldBytes.Load() <= g.maxBytes
 }
 
-// evict lets connections give way so that at least need is free, of what room says that each holds.
+// evict evicts connections so that at least need is free, of what held says that each holds.
 // The caller holds the lock.
-func (g *Gate) evict(room func(*Conn) int64, need int64) {
+func (g *Gate) evict(held func(*Conn) int64, need int64) {
 	var conns []*Conn
 	var senders []intake.Sender
 	for c := range g.conns {
@@ -144,11 +144,11 @@
 			continue
 		}
 		conns = append(conns, c)
-		senders = append(senders, intake.Sender{Held: room(c), Since: since, Served: c.served.Load()})
+		senders = append(senders, intake.Sender{Held: held(c), Since: since, Served: c.served.Load()})
 	}
 	for _, i := range intake.Victims(senders, need, g.clock()) {
 		g.evicted.Add(1)
 		conns[i].listener.evicting++
-		conns[i].giveWay()
+		conns[i].evict()
 	}
 }
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -46,7 +46,7 @@
 	return c
 }
 
-// readBody is a handler that reads a body within the room of its connection.
+// readBody is a handler that reads a body within the memory of its connection.
 func readBody(w http.ResponseWriter, r *http.Request) {
 	conn := FromContext(r.Context())
 	body, more, err := conn.ReadAll(r.Body, r.ContentLength, 1<<20)
@@ -66,8 +66,8 @@
 	proper     = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
 )
 
-// The oldest unfinished body gives way and is told so, and a proper request is served.
-func TestUnfinishedBodiesGiveWay(t *testing.T) {
+// The oldest unfinished body is evicted and is told so, and a proper request is served.
+func TestUnfinishedBodiesAreEvicted(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gate := newGate(1 << 20)
 	addr := serve(t, gate, testLimits, readBody)
@@ -85,12 +85,12 @@
 	g.Expect(string(buf[:n])).To(gomega.HavePrefix("HTTP/1.1 200 "))
 	_ = second.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 	_, err = second.Read(buf)
-	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("timeout")), "no more connections give way than are needed")
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("timeout")), "no more connections are evicted than are needed")
 	g.Expect(gate.Status().Evicted).To(gomega.BeNumerically("==", 1))
 }
 
-// All that was taken is returned when the connections have ended, however they end.
-func TestRoomIsReturned(t *testing.T) {
+// All that was reserved is released when the connections have ended, however they end.
+func TestMemoryIsReleased(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gate := newGate(1 << 20)
 	addr := serve(t, gate, testLimits, readBody)
@@ -118,8 +118,8 @@
 	g.Eventually(gate.heldBytes.Load, "5s").Should(gomega.BeNumerically("<=", 9*(connBytes+30*headFactor)))
 }
 
-// An address has no more connections than it may take, and the silent ones give way.
-func TestSilentConnectionsGiveWay(t *testing.T) {
+// An address has no more connections than it may take, and the silent ones are evicted.
+func TestSilentConnectionsAreEvicted(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gate := newGate(1 << 20)
 	addr := serve(t, gate, testLimits, readBody)
@@ -135,8 +135,8 @@
 	g.Expect(len(gate.conns)).To(gomega.BeNumerically("<=", 2*minConns))
 }
 
-// A request that is executed does not give way, whatever comes.
-func TestExecutedRequestsDoNotGiveWay(t *testing.T) {
+// A request that is executed is not evicted, whatever comes.
+func TestExecutedRequestsAreNotEvicted(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gate := newGate(1 << 20)
 	release, started := make(chan struct{}), make(chan struct{})
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -48,7 +48,7 @@
 	maxConns int
 	// countHeads is set if what a connection reads before its request is known is an HTTP head.
 	countHeads bool
-	// open are the connections, and evicting those of them that gave way and are not closed yet. Both
+	// open are the connections, and evicting those of them that were evicted and are not closed yet. Both
 	// are guarded by the gate's lock.
 	open, evicting int
 }
@@ -58,10 +58,10 @@
 	return &Listener{Listener: ln, gate: g, maxConns: max(minConns, int(l.ConnFraction*float64(g.descriptors))), countHeads: l.HeadBytes > 0}
 }
 
-// hardMaxConns bounds the open connections with those that gave way and are not closed yet.
+// hardMaxConns bounds the open connections with those that were evicted and are not closed yet.
 func (l *Listener) hardMaxConns() int { return l.maxConns + max(minConns, l.maxConns/8) }
 
-// Accept implements net.Listener. Connections for which there is no room are closed.
+// Accept implements net.Listener. Connections for which there is no memory or descriptor are closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
@@ -69,7 +69,7 @@
 			return nil, err
 		}
 		c := newConn(raw, l)
-		if l.gate.register(c) && c.Take(connBytes) {
+		if l.gate.register(c) && c.Reserve(connBytes) {
 			return c, nil
 		}
 		l.gate.refused.Add(1)
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -64,8 +64,8 @@
 	bodyLen int64
 	// bodyPrefix is the beginning of a streamed body.
 	bodyPrefix []byte
-	// room accounts for the memory of a request that a caller sent, nil for others.
-	room *inbound.Conn
+	// conn accounts for the memory of a request that a caller sent, nil for others.
+	conn *inbound.Conn
 	// closeEndsBody is set if the caller speaks HTTP/1.0, where the end of the connection is the end of
 	// a body without a length.
 	closeEndsBody bool
@@ -201,8 +201,8 @@
 // serviceOfTarget returns the fleet/service part of a target.
 func serviceOfTarget(target string) string { return target[:strings.LastIndexByte(target, '/')] }
 
-// noRoom returns the error for a call whose connection gave way, or for which there is no memory.
-func (c *call) noRoom() *fault.Error {
+// outOfMemory returns the error for a call whose connection was evicted, or for which there is no memory.
+func (c *call) outOfMemory() *fault.Error {
 	return c.refusal(fault.Overload, "the memory for requests is used up", 0)
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -40,9 +40,9 @@
 	defer c.scope.Close()
 	n.stats.inflight.Add(1)
 	defer n.stats.inflight.Add(-1)
-	c.room, c.closeEndsBody = inbound.FromContext(r.Context()), !r.ProtoAtLeast(1, 1)
-	if !c.room.TakeForRequest(int64(len(r.Header)) * fieldBytes) {
-		n.refuse(w, c, c.noRoom())
+	c.conn, c.closeEndsBody = inbound.FromContext(r.Context()), !r.ProtoAtLeast(1, 1)
+	if !c.conn.ReserveForRequest(int64(len(r.Header)) * fieldBytes) {
+		n.refuse(w, c, c.outOfMemory())
 		return
 	}
 	if ferr := n.readBody(c, w, r); ferr != nil {
@@ -50,7 +50,7 @@
 		return
 	}
 	if c.replayable() {
-		c.room.Protect()
+		c.conn.Protect()
 	}
 	c.computeFingerprints()
 	if c.policy.KeyRequired {
@@ -246,14 +246,14 @@
 	if resp.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(resp.length, 10))
 	}
-	c.room.BeginResponse()
+	c.conn.BeginResponse()
 	_ = http.NewResponseController(w).SetWriteDeadline(laterOf(c.scope.Deadline(), time.Now()).Add(responseWriteGrace))
 	w.WriteHeader(resp.status)
 	if err := copyBody(w, resp.body); err != nil {
 		n.stats.brokenResponses.Add(1)
 		n.recordOutcome(c, fault.PeerLost, fault.ExecutionUnknown)
 		if c.closeEndsBody {
-			c.room.ResetOnClose()
+			c.conn.ResetOnClose()
 		}
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/node/request_body.go
+++ b/internal/node/request_body.go
@@ -35,7 +35,7 @@
 		return n.streamBody(c, body)
 	}
 	var err error
-	if c.body, _, err = c.room.ReadAll(body, c.bodyLen, c.bodyLen); err != nil {
+	if c.body, _, err = c.conn.ReadAll(body, c.bodyLen, c.bodyLen); err != nil {
 		return n.bodyReadError(c, err)
 	}
 	return nil
@@ -75,7 +75,7 @@
 // readBodyOfUnknownLength buffers a body without a Content-Length if it is small, and else
 // streams it.
 func (n *Node) readBodyOfUnknownLength(c *call, body io.Reader) *fault.Error {
-	start, more, err := c.room.ReadAll(body, c.bodyLen, int64(c.policy.ReplayMax))
+	start, more, err := c.conn.ReadAll(body, c.bodyLen, int64(c.policy.ReplayMax))
 	switch {
 	case err != nil:
 		return n.bodyReadError(c, err)
@@ -91,8 +91,8 @@
 // bodyReadError maps an error of reading a request body to a fault.
 func (n *Node) bodyReadError(c *call, err error) *fault.Error {
 	switch {
-	case c.room.GaveWay(), fault.CodeOf(err) == fault.Overload:
-		return c.noRoom()
+	case c.conn.Evicted(), fault.CodeOf(err) == fault.Overload:
+		return c.outOfMemory()
 	case isBodyLimit(err):
 		return n.unlessOutdated(c.conf, fault.Wrap(fault.TooLarge, err, "the body is too large"))
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -66,8 +66,8 @@
 // frameConn is a connection with buffers to read and write frames.
 type frameConn struct {
 	net.Conn
-	// room accounts for the memory of an accepted connection, nil for others.
-	room     *inbound.Conn
+	// account accounts for the memory of an accepted connection, nil for others.
+	account  *inbound.Conn
 	reader   *bufio.Reader
 	readBuf  []byte
 	writeBuf []byte
@@ -75,7 +75,7 @@
 }
 
 func newFrameConn(c net.Conn) *frameConn {
-	return &frameConn{Conn: c, room: inbound.Of(c), reader: bufio.NewReaderSize(c, readBufferSize)}
+	return &frameConn{Conn: c, account: inbound.Of(c), reader: bufio.NewReaderSize(c, readBufferSize)}
 }
 
 // readFrame reads and verifies the next frame. The payload is valid until the
@@ -90,7 +90,7 @@
 		return 0, nil, fault.New(fault.Protocol, "malformed frame header")
 	}
 	if cap(l.readBuf) < int(n) {
-		if !l.room.Take(int64(n) - int64(cap(l.readBuf))) {
+		if !l.account.Reserve(int64(n) - int64(cap(l.readBuf))) {
 			return 0, nil, fault.New(fault.Overload, "the memory for requests is used up")
 		}
 		l.readBuf = make([]byte, n)
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -177,17 +177,17 @@
 		return false
 	}
 	if t == framePing {
-		c.room.EndRequest()
+		c.account.EndRequest()
 		return c.write(appendFrame(nil, framePong, nil)) == nil
 	}
 	if t != frameRequest {
 		c.srv.malformed.Add(1)
 		return false
 	}
-	if !c.room.TakeForRequest(int64(len(payload)) * decodedHeadFactor) {
+	if !c.account.ReserveForRequest(int64(len(payload)) * decodedHeadFactor) {
 		return false
 	}
-	defer c.room.EndRequest()
+	defer c.account.EndRequest()
 	x := &Exchange{conn: c}
 	if err := decodeRequest(payload, &x.Request); err != nil {
 		c.srv.malformed.Add(1)
@@ -281,17 +281,17 @@
 }
 
 // MarkBodyRead records that the handler has read the complete body. From then
-// on, the server detects a client that closes the connection, and the connection does not give way
-// to others.
+// on, the server detects a client that closes the connection, and the connection is not evicted
+// for others.
 func (x *Exchange) MarkBodyRead() {
-	x.conn.room.Protect()
+	x.conn.account.Protect()
 	x.bodyRead.Store(true)
 }
 
 // ReadBody reads the complete body into memory. It returns an error with the code fault.Overload if
-// there is no room for it.
+// there is no memory for it.
 func (x *Exchange) ReadBody() ([]byte, error) {
-	body, _, err := x.conn.room.ReadAll(x.Body, x.Request.BodyLen, x.Request.BodyLen)
+	body, _, err := x.conn.account.ReadAll(x.Body, x.Request.BodyLen, x.Request.BodyLen)
 	if err == nil {
 		x.MarkBodyRead()
 	}
