node: evicted and refused connections have metrics and a log line

An operator could not see that a crowd is connected and what it is denied. Status and metrics show the memory that is reserved, its bound, and how many connections were evicted or refused; a log line every 10 s at most tells of them, so a crowd of any size writes six lines a minute.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -127,6 +127,8 @@
 	// SilentConnections counts connections to other nodes that were found unresponsive.
 	SilentConnections int64        `json:"silent_connections"`
 	Control           ControlBytes `json:"control_bytes"`
+	// Inbound is what the process holds for those that connect to it.
+	Inbound InboundStatus `json:"inbound"`
 	// Dropped counts the items dropped by full queues, by queue.
 	Dropped map[string]int64 `json:"dropped"`
 	Replica *ReplicaStatus   `json:"replica,omitempty"`
@@ -215,7 +217,7 @@
 		ConfigFetches: n.versions.fetches.Load(), FailedConfigFetches: n.versions.failedFetches.Load(), Replicas: len(v.replicas), UnresponsiveAddresses: n.gossip.lostAddresses(), Backend: n.backendStatus(), State: nodeChart.StateName(n.state.load()),
 		Members: len(v.members) + 1, InFlight: n.stats.inflight.Load(), Served: n.stats.servedRequests.Load(), Calls: n.stats.firstAttempts.Load(),
 		Retries: n.stats.retries.Load(), Refusals: n.stats.refusalsByReason(), BrokenResponses: n.stats.brokenResponses.Load(), Unanswered: n.unanswered.byReason(), DoubtedAttempts: n.stats.doubtedAttempts.Load(),
-		SilentConnections: n.peers.silentConnections(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.droppedCounts(),
+		SilentConnections: n.peers.silentConnections(), Inbound: n.inboundStatus(), Domains: map[string]bool{}, Replica: n.replicas.status(), Dropped: n.droppedCounts(),
 		Quarantined: n.quarantine.status(), UnchargedRetries: n.stats.unchargedRetries.Load(), DeniedRetries: n.stats.deniedRetries.Load(),
 	}
 	s.ConfigConfirmedMs = -1
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -323,6 +323,7 @@
 // maintenanceLoop expires leases, tracks overloads and the age of the settings, and prunes the
 // quarantine.
 func (n *Node) maintenanceLoop() {
+	var inboundLog inboundLog
 	n.runEvery(maintenanceInterval, func(now time.Time) {
 		n.pauses.tick(n.clock(), now)
 		n.trackSettingsDoubt(n.clock())
@@ -330,6 +331,7 @@
 		n.expireLease(now)
 		n.serverReports.expire(n.clock())
 		n.trackOverload(now)
+		inboundLog.track(n, n.clock())
 		n.quarantine.rebuildStaleView()
 	})
 }
