node: what follows an answered request has 5 s, not 1 s

A caller that is refused while it is still sending, say slowly, reads the answer when it has sent all: net/http reads up to 256 KiB on for it. A second was less than the deadline of such an upload, so its caller would have seen a reset in place of the refusal, which promises nothing. Found by reading. The connection can be evicted meanwhile, so a crowd gains nothing.

--- a/internal/node/request_body.go
+++ b/internal/node/request_body.go
@@ -47,7 +47,7 @@
 
 // unreadBodyTimeout bounds the time in which net/http reads on, after the response, what a caller
 // sends of a body that was not read to its end.
-const unreadBodyTimeout = time.Second
+const unreadBodyTimeout = 5 * time.Second
 
 // limitUnreadBody bounds the time for the rest of a body once the request was answered.
 func limitUnreadBody(w http.ResponseWriter, r *http.Request) {
