inbound: a connection without a request is closed as it is evicted, unanswered

- A head for whose next bytes there was no memory was answered with 400, by which its client would not send a proper request again.
TestEvictedHeadGetsNoAnswer (failed: 400 Bad Request).
Cause: net/http answers each error of reading a head but timeouts and those of the connection.
The error is a timeout now.
Cause: evicted connections stay open until their goroutine has seen it, and while as many as the bound were, new ones were refused.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -26,7 +27,11 @@
 // past is a deadline that has expired.
 var past = time.Unix(1, 0)
 
-// errNoMemory is the error of reading from an evicted connection.
+// errEvicted is the error of reading from an evicted connection: a timeout, at which net/http closes a
+// connection without an answer.
+var errEvicted error = os.ErrDeadlineExceeded
+
+// errNoMemory is the error of a body for which there is no memory.
 var errNoMemory = fault.New(fault.Overload, "the memory for requests is used up")
 
 // Conn is an accepted connection with the memory that is reserved for it. Between two requests and
@@ -86,7 +91,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.evicted.Load() {
-		return 0, errNoMemory
+		return 0, errEvicted
 	}
 	n, err := c.Conn.Read(p)
 	if n <= 0 || !c.inHead.Load() {
@@ -98,7 +103,7 @@
 	if c.listener.countHeads {
 		c.headBytes.Add(int64(n))
 		if !c.ReserveForRequest(int64(n) * headFactor) {
-			return 0, errNoMemory
+			return 0, errEvicted
 		}
 	}
 	return n, err
@@ -154,6 +159,9 @@
 	if c == nil {
 		return true
 	}
+	if c.evicted.Load() {
+		return false
+	}
 	c.held.Add(n)
 	if c.gate.heldBytes.Add(n) <= c.gate.maxBytes && !c.evicted.Load() {
 		return true
@@ -186,8 +194,11 @@
 	return true
 }
 
-// beginRequest records that the head of a request was read.
-func (c *Conn) beginRequest() {
+// BeginRequest records that the head of a request was read.
+func (c *Conn) BeginRequest() {
+	if c == nil {
+		return
+	}
 	c.inHead.Store(false)
 	n := min(c.forRequest.Load(), c.headBytes.Swap(0)*(headFactor-parsedHeadFactor))
 	c.forRequest.Add(-n)
@@ -226,10 +237,17 @@
 // Evicted reports whether the connection was evicted.
 func (c *Conn) Evicted() bool { return c != nil && c.evicted.Load() }
 
-// evict ends what the connection does. Its server sees that reading fails, answers if it can, and
+// evict ends what the connection does, and counts no longer what it holds. One without a request that
+// is served is closed at once. Otherwise its server sees that reading fails, answers if it can and
 // closes the connection; a response that is not read is broken off. The caller holds the gate's lock.
 func (c *Conn) evict() {
 	c.evicted.Store(true)
+	if c.inHead.Load() {
+		c.gate.remove(c)
+		_ = c.Conn.Close()
+		return
+	}
+	c.listener.evicting++
 	c.gate.heldBytes.Add(-c.held.Swap(0))
 	if c.responding.Load() {
 		_ = c.Conn.SetDeadline(past)
--- a/internal/inbound/gate.go
+++ b/internal/inbound/gate.go
@@ -112,13 +112,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, ok := g.conns[c]; !ok {
+		// Memory may have been reserved or released while the connection was evicted.
+		g.heldBytes.Add(-c.held.Swap(0))
 		return
 	}
-	delete(g.conns, c)
-	c.listener.open--
 	if c.evicted.Load() {
 		c.listener.evicting--
 	}
+	g.remove(c)
+}
+
+// remove counts a connection no longer. The caller holds the lock.
+func (g *Gate) remove(c *Conn) {
+	delete(g.conns, c)
+	c.listener.open--
 	g.heldBytes.Add(-c.held.Swap(0))
 }
 
@@ -148,7 +155,6 @@
 	}
 	for _, i := range intake.Victims(senders, need, g.clock()) {
 		g.evicted.Add(1)
-		conns[i].listener.evicting++
 		conns[i].evict()
 	}
 }
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -181,3 +181,15 @@
 		}
 	}
 }
+
+// A connection that is evicted while its head is read is closed. An answer would tell its client that
+// the request is at fault.
+func TestEvictedHeadGetsNoAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gate := newGate(2*connBytes + headFactor<<10)
+	addr := serve(t, gate, testLimits, readBody)
+	c := dial(t, addr, "GET / HTTP/1.1\r\nHost: x\r\nX-Field: "+strings.Repeat("v", 3<<10))
+	answer, _ := io.ReadAll(c)
+	g.Expect(string(answer)).To(gomega.BeEmpty())
+	g.Expect(gate.Status().Evicted).To(gomega.BeNumerically("==", 1))
+}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -93,7 +93,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		conn.beginRequest()
+		conn.BeginRequest()
 	case http.StateIdle:
 		conn.EndRequest()
 	}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -193,6 +193,7 @@
 		c.srv.malformed.Add(1)
 		return false
 	}
+	c.account.BeginRequest()
 	now := time.Now()
 	deadline := now.Add(x.Request.Remaining)
 	_ = c.SetReadDeadline(deadline)
