inbound: requests of nodes may take 3/8 of the descriptors, control messages 1/8

By reading: each node keeps up to two connections to each one that it has sent requests to, so an instance of a service that 500 nodes call has more than a quarter of 4,100; evicting idle ones can cost a request its answer. A node has 48 connections for control messages at most, and sends a call again on a new one. All 33 tests of platform/crowd held with it, run alone.

--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -34,8 +34,8 @@
 	// Checks is for announcements, readiness and metrics.
 	Checks = Limits{HeadBytes: 32 << 10, HeadTimeout: headTimeout, RequestTimeout: 10 * time.Second, ResponseTimeout: 20 * time.Second, IdleTimeout: idleTimeout, ConnFraction: 1.0 / 64}
 	// PeerRequests and PeerControl are for the requests and the control messages of other nodes.
-	PeerRequests = Limits{ConnFraction: 1.0 / 4}
-	PeerControl  = Limits{ConnFraction: 1.0 / 4}
+	PeerRequests = Limits{ConnFraction: 3.0 / 8}
+	PeerControl  = Limits{ConnFraction: 1.0 / 8}
 )
 
 // minConns is the least number of connections that an address takes.
