--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -53,7 +53,8 @@
 	return body, false, nil
 }
 
-// grow returns the body in a buffer of twice the size, or of that for a body of more than max bytes if it is less.
+// grow returns the body in a buffer of twice the size, or of one that shows that the body has more
+// than max bytes, whichever is smaller.
 func (c *Conn) grow(body []byte, max int64) ([]byte, error) {
 	size := int64(cap(body))
 	larger := min(2*size, max+firstPieceBytes)
@@ -66,7 +67,8 @@
 	return grown, nil
 }
 
-// readError returns the error of reading a body: that there is no memory, if the connection was evicted.
+// readError returns the error of reading a body: that there is no memory, if the connection was
+// evicted.
 func (c *Conn) readError(err error) error {
 	if c.Evicted() {
 		return errNoMemory
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -35,13 +35,14 @@
 var errNoMemory = fault.New(fault.Overload, "the memory for requests is used up")
 
 // Conn is an accepted connection with the memory that is reserved for it. Between two requests and
-// while one is read it may be evicted; Protect excludes that. All methods but those of net.Conn do nothing on nil.
+// while one is read it may be evicted; Protect excludes that. On nil, which stands for a connection
+// without a bound, all methods but those of net.Conn do nothing.
 type Conn struct {
 	net.Conn
 	gate     *Gate
 	listener *Listener
 
-	// held is the memory held for the connection, and forRequest the part that EndRequest returns.
+	// held is the memory held for the connection, and forRequest the part that EndRequest releases.
 	held, forRequest atomic.Int64
 	// headBytes is the length of the head as far as it was read.
 	headBytes atomic.Int64
--- a/internal/inbound/gate.go
+++ b/internal/inbound/gate.go
@@ -107,7 +107,7 @@
 	return true
 }
 
-// unregister removes a connection and returns what it holds.
+// unregister removes a connection and releases what it holds.
 func (g *Gate) unregister(c *Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -122,7 +122,7 @@
 	g.remove(c)
 }
 
-// remove counts a connection no longer. The caller holds the lock.
+// remove takes a connection out of the accounts. The caller holds the lock.
 func (g *Gate) remove(c *Conn) {
 	delete(g.conns, c)
 	c.listener.open--
@@ -140,8 +140,8 @@
 	return !c.evicted.Load() && g.heldBytes.Load() <= g.maxBytes
 }
 
-// evict evicts connections so that at least need is free, of what held says that each holds.
-// The caller holds the lock.
+// evict evicts connections so that at least need is free; held returns how much of that a connection
+// holds. The caller holds the lock.
 func (g *Gate) evict(held func(*Conn) int64, need int64) {
 	var conns []*Conn
 	var senders []intake.Sender
