node: settings that replicas could not send to each other are refused

A fault of the bound on control messages, found by reading: a document above a sixth of a replica's budget would have been taken, while its message to the other replicas found no memory, so that it was never accepted and no later one either.

The refusal names the size and the limit.

--- a/internal/control/server_codec.go
+++ b/internal/control/server_codec.go
@@ -31,7 +31,7 @@
 )
 
 // messageReader passes on a stream of gob messages and reads the length before each, so that none is
-// decoded for which there is no account. It implements io.Reader.
+// decoded for which there is no memory. It implements io.Reader.
 type messageReader struct {
 	r       io.Reader
 	account *inbound.Conn
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"expvar"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/pprof"
 	"slices"
@@ -448,6 +449,10 @@
 		writeProblem(w, req.ID, fault.New(fault.InvalidSetting, "the change sets and removes nothing"))
 		return
 	}
+	if ferr := n.checkSettingsSize(n.settingsWith(req.Set)); ferr != nil {
+		writeProblem(w, req.ID, ferr)
+		return
+	}
 	if req.ID == "" {
 		req.ID = uuid.NewString()
 	}
@@ -472,6 +477,16 @@
 	writeJSON(w, ChangeResult{res.ID, res.Version, res.Code.String(), res.Winner, res.Current})
 }
 
+// settingsWith returns the settings in force with entries set.
+func (n *Node) settingsWith(set settings.Entries) settings.Entries {
+	merged := maps.Clone(n.conf.Load().entries)
+	if merged == nil {
+		merged = settings.Entries{}
+	}
+	maps.Copy(merged, set)
+	return merged
+}
+
 // serveExplain returns the effective settings of a scope with the origin of each value.
 func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request) {
 	out, err := n.conf.Load().tree.Explain(r.URL.Query().Get("scope"))
--- a/internal/node/settings_document.go
+++ b/internal/node/settings_document.go
@@ -45,6 +45,9 @@
 // active revision is not the one that the document is based on. The error's Run is
 // fault.NotExecuted only if the document was certainly not accepted.
 func (n *Node) ReplaceSettings(r *Replacement, wait time.Duration) (confstore.Result, *fault.Error) {
+	if ferr := n.checkSettingsSize(r.Entries); ferr != nil {
+		return confstore.Result{}, ferr
+	}
 	deadline := time.Now().Add(wait)
 	uncertain := false
 	for {
@@ -72,6 +75,25 @@
 	}
 }
 
+// maxSettingsFraction is the part of the memory for connections that the settings may have. A
+// snapshot has them twice, with the kept changes, and a control message takes several times its size.
+const maxSettingsFraction = 1.0 / 8
+
+// maxSettingsBytes returns the largest size of the settings, as confstore.EntriesBytes counts it.
+func (n *Node) maxSettingsBytes() int {
+	return int(maxSettingsFraction * float64(n.inbound.Status().MaxBytes))
+}
+
+// checkSettingsSize returns an error for settings that replicas could not send to each other. It
+// assumes that all of them have the same memory.
+func (n *Node) checkSettingsSize(entries settings.Entries) *fault.Error {
+	size, most := confstore.EntriesBytes(entries), n.maxSettingsBytes()
+	if size <= most {
+		return nil
+	}
+	return fault.Newf(fault.TooLarge, "the settings have %d bytes; allowed are %d", size, most)
+}
+
 // awaitVersion waits until a version is active on this node or the deadline passes.
 // It requests the version from the leader.
 func (n *Node) awaitVersion(version uint64, deadline time.Time) {
