node: the refusal of a stalled upload does not wait for its rest

The bound is set before the body is read, and readBody's own replaces it: it counts only for requests that are refused by their head.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -25,7 +25,7 @@
 // serveCallerRequest handles an HTTP request of a caller, or a nested call of the local
 // backend server. It runs on the goroutine that net/http started for the connection.
 func (n *Node) serveCallerRequest(w http.ResponseWriter, r *http.Request) {
-	defer limitUnreadBody(w, r)
+	limitUnreadBody(w, r)
 	c, ferr := n.parseRequest(r)
 	if ferr != nil {
 		n.stats.countRefusal(ferr.Code)
--- a/internal/node/request_body.go
+++ b/internal/node/request_body.go
@@ -45,11 +45,11 @@
 // backend server, without its text.
 const fieldBytes = 600
 
-// unreadBodyTimeout bounds the time in which net/http reads on, after the response, what a caller
-// sends of a body that was not read to its end.
+// unreadBodyTimeout bounds the time in which net/http reads the body of a request that is refused
+// before its body is read.
 const unreadBodyTimeout = 5 * time.Second
 
-// limitUnreadBody bounds the time for the rest of a body once the request was answered.
+// limitUnreadBody bounds the time for a body until readBody sets its own bound.
 func limitUnreadBody(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
