node: attempts under way count towards the servers that a request may be sent to

What callers saw: nothing; servers ran a request on three of them where its route allows two.

Cause: since an attempt in doubt goes on, two attempts can be under way, and an attempt was recorded as an offer only as it ended or came into doubt. The trace: the first attempt runs at the entry's own server, comes into doubt after 3 s, a second one begins; the first ends with 500, the second has not ended, so one offer of two is counted, and a third server is asked.

Change: the servers of attempts under way are counted as offered, in the retry decision and in the choice of the instance.

Evidence: TestAttemptsUnderWayCountTowardsTheMaximum failed 2 of 2, holds 3 of 3.

--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -250,7 +250,7 @@
 func (n *Node) retryState(c *call) retry.Call {
 	return retry.Call{
 		Replayable: c.replayable(), Idempotent: c.policy.Idempotent,
-		Attempts: c.attempts, Uncharged: c.unchargedRetries, Offered: len(c.offeredTo), MaxOffered: c.policy.AttemptsMax,
+		Attempts: c.attempts, Uncharged: c.unchargedRetries, Offered: len(c.offers()), MaxOffered: c.policy.AttemptsMax,
 		Terminations: max(c.brokenAttempts, n.quarantine.terminationCount(c)),
 	}
 }
@@ -270,10 +270,26 @@
 
 // allowedInstances returns the instances that the next attempt may use, nil for all.
 func (c *call) allowedInstances() []*route.Instance {
-	if c.policy.AttemptsMax == 0 || len(c.offeredTo) < c.policy.AttemptsMax {
+	if c.policy.AttemptsMax == 0 {
 		return nil
 	}
-	return c.offeredTo
+	offers := c.offers()
+	if len(offers) < c.policy.AttemptsMax {
+		return nil
+	}
+	return offers
+}
+
+// offers returns the instances whose backend servers were offered the call, or may be by an attempt
+// under way. The result must not be modified.
+func (c *call) offers() []*route.Instance {
+	offers := slices.Clip(c.offeredTo)
+	for _, a := range c.underWay {
+		if !a.instance.IsAnyOf(offers) {
+			offers = append(offers, a.instance)
+		}
+	}
+	return offers
 }
 
 // attempt sends the call to one instance and records the outcome for routing. The instance is
--- a/internal/node/slow_attempt_test.go
+++ b/internal/node/slow_attempt_test.go
@@ -218,3 +218,37 @@
 		})
 	}
 }
+
+// A request may not be sent to more servers than its kind allows while one that is in doubt, and the
+// one that was asked in its place, are both under way: as the first fails, no third is asked.
+func TestAttemptsUnderWayCountTowardsTheMaximum(t *testing.T) {
+	g := gomega.NewWithT(t)
+	one := startNode(t, "a", nil, nil)
+	two := startNode(t, "a", []string{one.opt.Control}, nil)
+	three := startNode(t, "a", []string{one.opt.Control}, nil)
+	useSettings(t, slowAttemptSettings+"\nattempts_max = 2", one, two, three)
+	twoBegan := make(chan struct{})
+	s := startSlowServer(t, one, "one", func(*http.Request) {
+		<-twoBegan
+		time.Sleep(100 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	})
+	one.awaitInstances("f/s", 1)
+	sendFastRequests(t, one)
+	answered := make(chan httpResult, 1)
+	go func() { answered <- one.call("f/s/k", "slow", nil, nil) }()
+	g.Eventually(s.started.Load).Should(gomega.BeEquivalentTo(1))
+	var began atomic.Int32
+	work := func(r *http.Request) {
+		if began.Add(1) == 1 {
+			close(twoBegan)
+		}
+		workFor(slowWork / 2)(r)
+	}
+	startSlowServer(t, two, "two", work)
+	startSlowServer(t, three, "three", work)
+	one.awaitInstances("f/s", 3)
+	r := <-answered
+	g.Expect(r.status).To(gomega.Equal(http.StatusOK), r.body)
+	g.Expect(began.Load()).To(gomega.BeEquivalentTo(1), "a third server was asked")
+}
