control: commands that wait do not hold up the messages between replicas

Cause: calls to one address share a connection. With 64 calls handled at once, commands that wait for a quorum held up the raft messages behind them, which they waited for.

Change: 4,096 calls, 32 MiB of the budget; the memory of each call is what bounds a crowd.

--- a/internal/control/server_codec.go
+++ b/internal/control/server_codec.go
@@ -22,8 +22,9 @@
 	// callBytes is the memory of a call without its arguments.
 	callBytes = 8 << 10
 	// maxPendingCalls bounds the calls of one connection that are handled at the same time. Further
-	// ones are read later.
-	maxPendingCalls = 64
+	// ones are read later. The messages between replicas share a connection with the commands that
+	// wait for them, so it is far above the commands that wait at a node.
+	maxPendingCalls = 4096
 	// responseTimeout bounds the time for writing one response.
 	responseTimeout = 30 * time.Second
 	// gobLongest is the longest encoding of a message's length, in bytes after the first.
